--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/call/Outcome.java
@@ -0,0 +1,18 @@
+package org.sardinepost.core.call;
+
+import java.util.Locale;
+
+/** What is known about the execution of a request. */
+public enum Outcome {
+    /** An upstream answered and the whole answer is passed on. */
+    ANSWERED,
+    /** No upstream started the request. */
+    NOT_RUN,
+    /** The request may or may not have run. */
+    UNKNOWN;
+
+    /** The value of the {@code Sardinepost-Outcome} header. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/call/RetryReason.java
@@ -0,0 +1,22 @@
+package org.sardinepost.core.call;
+
+import java.util.Locale;
+
+/** Why a call was sent to another upstream. Each constant has one counter and one entry in docs/operators.md. */
+public enum RetryReason {
+    /** No connection to the upstream could be opened, so nothing was written. */
+    CONNECT_FAILED,
+    /** The upstream said that it refused before starting. */
+    REFUSED_BY_UPSTREAM,
+    /** The connection broke after the request was written; only idempotent calls are repeated. */
+    CONNECTION_LOST,
+    /** The answer ended before its stated end; only idempotent calls are repeated. */
+    ANSWER_INCOMPLETE,
+    /** The upstream answered 502, 503 or 504; only idempotent calls are repeated. */
+    SERVER_ERROR;
+
+    /** The name in metrics and docs: lower case with hyphens. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/ini/IniSection.java
@@ -0,0 +1,21 @@
+package org.sardinepost.core.ini;
+
+import java.util.List;
+import java.util.Optional;
+
+/** One section of an INI file with its entries in order. */
+public record IniSection(String name, int line, List<IniEntry> entries) {
+    public IniSection {
+        entries = List.copyOf(entries);
+    }
+
+    /** The first entry with the key. */
+    public Optional<IniEntry> entry(String key) {
+        return entries.stream().filter(entry -> entry.key().equals(key)).findFirst();
+    }
+
+    /** The value of the first entry with the key. */
+    public Optional<String> value(String key) {
+        return entry(key).map(IniEntry::value);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/routing/LeastInFlightDispatcher.java
@@ -0,0 +1,86 @@
+package org.sardinepost.core.routing;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RefusedException;
+
+/** Assigns each call to the upstream with the fewest of this daemon's own calls in progress. A baseline without limits. */
+public final class LeastInFlightDispatcher implements Dispatcher {
+    private final Map<UpstreamId, Integer> inFlight = new LinkedHashMap<>();
+    private final Set<UpstreamId> leaving = new HashSet<>();
+
+    @Override
+    public synchronized CompletableFuture<Dispatch> acquire(DispatchRequest request, long nowNanos) {
+        Optional<UpstreamId> choice = choose(request);
+        if (choice.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new RefusedException(RefusalReason.NO_UPSTREAM, "no upstream of the service is available"));
+        }
+        UpstreamId upstream = choice.get();
+        inFlight.merge(upstream, 1, Integer::sum);
+        return CompletableFuture.completedFuture(new Place(upstream));
+    }
+
+    private Optional<UpstreamId> choose(DispatchRequest request) {
+        return inFlight.entrySet().stream()
+                .filter(entry -> !leaving.contains(entry.getKey()))
+                .min(Comparator.comparing((Map.Entry<UpstreamId, Integer> entry) ->
+                                request.excluded().contains(entry.getKey()))
+                        .thenComparing(Map.Entry::getValue))
+                .map(Map.Entry::getKey);
+    }
+
+    @Override
+    public void expire(long nowNanos) {
+        // Nothing waits here.
+    }
+
+    @Override
+    public synchronized void update(List<Upstream> upstreams, long nowNanos) {
+        List<UpstreamId> ids = upstreams.stream().map(Upstream::id).toList();
+        inFlight.keySet().retainAll(ids);
+        ids.forEach(id -> inFlight.putIfAbsent(id, 0));
+    }
+
+    @Override
+    public synchronized void markLeaving(UpstreamId upstream, long nowNanos) {
+        leaving.add(upstream);
+    }
+
+    private synchronized void release(UpstreamId upstream, DispatchResult result) {
+        inFlight.computeIfPresent(upstream, (id, count) -> count - 1);
+        if (result.leaving()) {
+            leaving.add(upstream);
+        }
+    }
+
+    private final class Place implements Dispatch {
+        private final UpstreamId upstream;
+        private boolean released;
+
+        Place(UpstreamId upstream) {
+            this.upstream = upstream;
+        }
+
+        @Override
+        public UpstreamId upstream() {
+            return upstream;
+        }
+
+        @Override
+        public synchronized void finished(DispatchResult result, long nowNanos) {
+            if (released) {
+                return;
+            }
+            released = true;
+            release(upstream, result);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Assignment of calls to upstreams. */
+package org.sardinepost.core.routing;
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/settings/DaemonSettings.java
@@ -0,0 +1,196 @@
+package org.sardinepost.core.settings;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** The settings of one daemon. */
+public final class DaemonSettings {
+    private static final Duration DEFAULT_DRAIN_WAIT = Duration.ofSeconds(5);
+    private static final long DEFAULT_HELD_BYTES = 64L << 20;
+    private static final long DEFAULT_REQUEST_LIMIT_BYTES = 4L << 20;
+    private static final int DEFAULT_HEADER_LIMIT_BYTES = 16 << 10;
+    private static final int DEFAULT_TOKEN_ENTRIES = 20_000;
+
+    private final UpstreamId callerAddress;
+    private final UpstreamId adminAddress;
+    private final UpstreamId peerAddress;
+    private final String failureDomain;
+    private final String region;
+    private final Duration drainWait;
+    private final Source configuration;
+    private final Source vms;
+    private final List<UpstreamId> peers;
+    private final long heldBytes;
+    private final long requestLimitBytes;
+    private final int headerLimitBytes;
+    private final int tokenEntries;
+
+    private DaemonSettings(Builder builder) {
+        this.callerAddress = Objects.requireNonNull(builder.callerAddress);
+        this.adminAddress = Objects.requireNonNull(builder.adminAddress);
+        this.peerAddress = Objects.requireNonNull(builder.peerAddress);
+        this.failureDomain = Objects.requireNonNull(builder.failureDomain);
+        this.region = Objects.requireNonNull(builder.region);
+        this.drainWait = builder.drainWait;
+        this.configuration = Objects.requireNonNull(builder.configuration);
+        this.vms = builder.vms;
+        this.peers = List.copyOf(builder.peers);
+        this.heldBytes = builder.heldBytes;
+        this.requestLimitBytes = builder.requestLimitBytes;
+        this.headerLimitBytes = builder.headerLimitBytes;
+        this.tokenEntries = builder.tokenEntries;
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Address for callers: HTTP/1.1 and h2c. */
+    public UpstreamId callerAddress() {
+        return callerAddress;
+    }
+
+    /** Address for health, readiness, metrics and status. */
+    public UpstreamId adminAddress() {
+        return adminAddress;
+    }
+
+    /** Address for other daemons. */
+    public UpstreamId peerAddress() {
+        return peerAddress;
+    }
+
+    public String failureDomain() {
+        return failureDomain;
+    }
+
+    public String region() {
+        return region;
+    }
+
+    /** Time between readiness off and the end of new connections at a planned stop. */
+    public Duration drainWait() {
+        return drainWait;
+    }
+
+    public Source configuration() {
+        return configuration;
+    }
+
+    public Source vms() {
+        return vms;
+    }
+
+    /** Peer addresses of other daemons; those of the VM list are added to them. */
+    public List<UpstreamId> peers() {
+        return peers;
+    }
+
+    /** Limit of all request and answer bytes held at once. */
+    public long heldBytes() {
+        return heldBytes;
+    }
+
+    public long requestLimitBytes() {
+        return requestLimitBytes;
+    }
+
+    public int headerLimitBytes() {
+        return headerLimitBytes;
+    }
+
+    /** Most idempotency tokens that may be issued and not yet expired. */
+    public int tokenEntries() {
+        return tokenEntries;
+    }
+
+    /** Builds settings; limits that are not set have the defaults of docs/operators.md. */
+    public static final class Builder {
+        private UpstreamId callerAddress;
+        private UpstreamId adminAddress;
+        private UpstreamId peerAddress;
+        private String failureDomain;
+        private String region;
+        private Duration drainWait = DEFAULT_DRAIN_WAIT;
+        private Source configuration;
+        private Source vms = Source.none();
+        private List<UpstreamId> peers = List.of();
+        private long heldBytes = DEFAULT_HELD_BYTES;
+        private long requestLimitBytes = DEFAULT_REQUEST_LIMIT_BYTES;
+        private int headerLimitBytes = DEFAULT_HEADER_LIMIT_BYTES;
+        private int tokenEntries = DEFAULT_TOKEN_ENTRIES;
+
+        private Builder() {}
+
+        public Builder callerAddress(UpstreamId value) {
+            this.callerAddress = value;
+            return this;
+        }
+
+        public Builder adminAddress(UpstreamId value) {
+            this.adminAddress = value;
+            return this;
+        }
+
+        public Builder peerAddress(UpstreamId value) {
+            this.peerAddress = value;
+            return this;
+        }
+
+        public Builder failureDomain(String value) {
+            this.failureDomain = value;
+            return this;
+        }
+
+        public Builder region(String value) {
+            this.region = value;
+            return this;
+        }
+
+        public Builder drainWait(Duration value) {
+            this.drainWait = value;
+            return this;
+        }
+
+        public Builder configuration(Source value) {
+            this.configuration = value;
+            return this;
+        }
+
+        public Builder vms(Source value) {
+            this.vms = value;
+            return this;
+        }
+
+        public Builder peers(List<UpstreamId> value) {
+            this.peers = value;
+            return this;
+        }
+
+        public Builder heldBytes(long value) {
+            this.heldBytes = value;
+            return this;
+        }
+
+        public Builder requestLimitBytes(long value) {
+            this.requestLimitBytes = value;
+            return this;
+        }
+
+        public Builder headerLimitBytes(int value) {
+            this.headerLimitBytes = value;
+            return this;
+        }
+
+        public Builder tokenEntries(int value) {
+            this.tokenEntries = value;
+            return this;
+        }
+
+        public DaemonSettings build() {
+            return new DaemonSettings(this);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of one daemon. */
+package org.sardinepost.core.settings;
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/text/Service.java
@@ -0,0 +1,224 @@
+package org.sardinepost.core.text;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import org.sardinepost.core.routing.Upstream;
+
+/** One service of the services text. */
+public final class Service {
+    private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(2);
+    private static final double DEFAULT_RETRY_BUDGET_SHARE = 0.1;
+    private static final long DEFAULT_ANSWER_LIMIT_BYTES = 4L << 20;
+    private static final int DEFAULT_SLOTS = 3;
+    private static final int DEFAULT_MEASURING_BUDGET_PER_SECOND = 20;
+
+    private final String name;
+    private final boolean external;
+    private final List<String> hosts;
+    private final List<String> dependsOn;
+    private final List<Upstream> upstreams;
+    private final int slots;
+    private final Set<String> idempotentMethods;
+    private final List<String> idempotentPaths;
+    private final TokenMode tokens;
+    private final Duration deadline;
+    private final double retryBudgetShare;
+    private final int measuringBudgetPerSecond;
+    private final Preference preference;
+    private final long answerLimitBytes;
+
+    private Service(Builder builder) {
+        this.name = Objects.requireNonNull(builder.name);
+        this.external = builder.external;
+        this.hosts = List.copyOf(builder.hosts);
+        this.dependsOn = List.copyOf(builder.dependsOn);
+        this.upstreams = List.copyOf(builder.upstreams);
+        this.slots = builder.slots;
+        this.idempotentMethods = Set.copyOf(builder.idempotentMethods);
+        this.idempotentPaths = List.copyOf(builder.idempotentPaths);
+        this.tokens = builder.tokens;
+        this.deadline = builder.deadline;
+        this.retryBudgetShare = builder.retryBudgetShare;
+        this.measuringBudgetPerSecond = builder.measuringBudgetPerSecond;
+        this.preference = builder.preference;
+        this.answerLimitBytes = builder.answerLimitBytes;
+    }
+
+    public static Builder builder(String name) {
+        return new Builder(name);
+    }
+
+    public String name() {
+        return name;
+    }
+
+    /** Whether calls from outside, those without a call context, are allowed. */
+    public boolean external() {
+        return external;
+    }
+
+    /** Further values of the Host header that mean this service. */
+    public List<String> hosts() {
+        return hosts;
+    }
+
+    /** Services that this one may call. */
+    public List<String> dependsOn() {
+        return dependsOn;
+    }
+
+    /** Upstreams named in the text; those of the VM list are added to them. */
+    public List<Upstream> upstreams() {
+        return upstreams;
+    }
+
+    /** Calls that one upstream works on at the same time. */
+    public int slots() {
+        return slots;
+    }
+
+    public Set<String> idempotentMethods() {
+        return idempotentMethods;
+    }
+
+    /** Path patterns whose requests are idempotent whatever the method; a final {@code *} matches any rest. */
+    public List<String> idempotentPaths() {
+        return idempotentPaths;
+    }
+
+    public TokenMode tokens() {
+        return tokens;
+    }
+
+    /** Time allowed for a call that brings no deadline of its own. */
+    public Duration deadline() {
+        return deadline;
+    }
+
+    /** Retries allowed, as a share of the service's calls. */
+    public double retryBudgetShare() {
+        return retryBudgetShare;
+    }
+
+    /** Measuring messages per second over all daemons. */
+    public int measuringBudgetPerSecond() {
+        return measuringBudgetPerSecond;
+    }
+
+    public Preference preference() {
+        return preference;
+    }
+
+    /** Size up to which an answer is held until it is complete. */
+    public long answerLimitBytes() {
+        return answerLimitBytes;
+    }
+
+    /** Whether a request with this method and path may run more than once. */
+    public boolean idempotent(String method, String path) {
+        if (idempotentMethods.contains(method)) {
+            return true;
+        }
+        return idempotentPaths.stream().anyMatch(pattern -> matches(pattern, path));
+    }
+
+    private static boolean matches(String pattern, String path) {
+        if (pattern.endsWith("*")) {
+            return path.startsWith(pattern.substring(0, pattern.length() - 1));
+        }
+        return path.equals(pattern);
+    }
+
+    /** Builds a service; keys that are not set have the defaults of docs/operators.md. */
+    public static final class Builder {
+        private final String name;
+        private boolean external;
+        private List<String> hosts = List.of();
+        private List<String> dependsOn = List.of();
+        private List<Upstream> upstreams = List.of();
+        private int slots = DEFAULT_SLOTS;
+        private Set<String> idempotentMethods = Set.of("GET", "HEAD", "OPTIONS");
+        private List<String> idempotentPaths = List.of();
+        private TokenMode tokens = TokenMode.REQUIRED;
+        private Duration deadline = DEFAULT_DEADLINE;
+        private double retryBudgetShare = DEFAULT_RETRY_BUDGET_SHARE;
+        private int measuringBudgetPerSecond = DEFAULT_MEASURING_BUDGET_PER_SECOND;
+        private Preference preference = Preference.LATENCY;
+        private long answerLimitBytes = DEFAULT_ANSWER_LIMIT_BYTES;
+
+        private Builder(String name) {
+            this.name = name;
+        }
+
+        public Builder external(boolean value) {
+            this.external = value;
+            return this;
+        }
+
+        public Builder hosts(List<String> value) {
+            this.hosts = value;
+            return this;
+        }
+
+        public Builder dependsOn(List<String> value) {
+            this.dependsOn = value;
+            return this;
+        }
+
+        public Builder upstreams(List<Upstream> value) {
+            this.upstreams = value;
+            return this;
+        }
+
+        public Builder slots(int value) {
+            this.slots = value;
+            return this;
+        }
+
+        public Builder idempotentMethods(Set<String> value) {
+            this.idempotentMethods = value;
+            return this;
+        }
+
+        public Builder idempotentPaths(List<String> value) {
+            this.idempotentPaths = value;
+            return this;
+        }
+
+        public Builder tokens(TokenMode value) {
+            this.tokens = value;
+            return this;
+        }
+
+        public Builder deadline(Duration value) {
+            this.deadline = value;
+            return this;
+        }
+
+        public Builder retryBudgetShare(double value) {
+            this.retryBudgetShare = value;
+            return this;
+        }
+
+        public Builder measuringBudgetPerSecond(int value) {
+            this.measuringBudgetPerSecond = value;
+            return this;
+        }
+
+        public Builder preference(Preference value) {
+            this.preference = value;
+            return this;
+        }
+
+        public Builder answerLimitBytes(long value) {
+            this.answerLimitBytes = value;
+            return this;
+        }
+
+        public Service build() {
+            return new Service(this);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/text/package-info.java
@@ -0,0 +1,2 @@
+/** The services text that operators submit. */
+package org.sardinepost.core.text;
