Add idempotency tokens and the token table

A non-idempotent request must run at most once without shared state, so a token names the one daemon incarnation that may dispatch it. The table decides what happens to each send: dispatch, join, replay, or a refusal. Every unexpired token has an entry from its issue on; a token without entry never starts a dispatch, so safety does not depend on a clock.

A not-run outcome renews the token: the old text no longer starts a dispatch. With the same text reusable, a delayed first send could run a request whose caller had already been told that it did not run.

Adopted incarnations are remembered after their entries expire, so that a late copy of an image revives no token. They have a bound of their own; otherwise adopting a full table would stop the issue of tokens.

--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/token/TokenImageWriter.java
@@ -0,0 +1,80 @@
+package org.sardinepost.core.token;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Encodes an image into frames for the peer protocol. */
+final class TokenImageWriter {
+    static final int FORMAT_VERSION = 1;
+    static final int MAX_FRAME_BYTES = 1 << 20;
+    static final int FRESH = 0;
+    static final int UNKNOWN = 1;
+    static final int ANSWERED = 2;
+
+    private TokenImageWriter() {}
+
+    static List<byte[]> write(TokenImage image, long nowNanos) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            writeIssuer(image.issuer(), out);
+            out.writeInt(image.entries().size());
+            for (TokenEntry entry : image.entries()) {
+                writeEntry(entry, nowNanos, out);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return split(bytes.toByteArray());
+    }
+
+    private static void writeIssuer(TokenIssuer issuer, DataOutputStream out) throws IOException {
+        out.writeByte(FORMAT_VERSION);
+        out.writeUTF(issuer.address().toString());
+        out.writeLong(issuer.incarnation());
+        out.write(issuer.key().secret());
+    }
+
+    /** The time left travels instead of the expiry, because the next holder has another monotonic clock. */
+    private static void writeEntry(TokenEntry entry, long nowNanos, DataOutputStream out) throws IOException {
+        out.writeLong(entry.sequence());
+        out.writeLong(entry.issuedAtNanos());
+        out.writeLong(entry.nanosLeft(nowNanos));
+        out.writeInt(entry.generation());
+        out.writeUTF(entry.fingerprint().map(RequestFingerprint::digest).orElse(""));
+        writeState(entry.state(), out);
+    }
+
+    private static void writeState(EntryState state, DataOutputStream out) throws IOException {
+        if (state instanceof EntryState.Answered answered) {
+            out.writeByte(ANSWERED);
+            writeAnswer(answered.answer(), out);
+            return;
+        }
+        out.writeByte(state instanceof EntryState.Fresh ? FRESH : UNKNOWN);
+    }
+
+    private static void writeAnswer(StoredAnswer answer, DataOutputStream out) throws IOException {
+        out.writeInt(answer.status());
+        out.writeInt(answer.headers().size());
+        for (AnswerHeader header : answer.headers()) {
+            out.writeUTF(header.name());
+            out.writeUTF(header.value());
+        }
+        out.writeInt(answer.body().length);
+        out.write(answer.body());
+    }
+
+    private static List<byte[]> split(byte[] bytes) {
+        List<byte[]> frames = new ArrayList<>();
+        for (int start = 0; start < bytes.length; start += MAX_FRAME_BYTES) {
+            int end = Math.min(bytes.length, start + MAX_FRAME_BYTES);
+            frames.add(Arrays.copyOfRange(bytes, start, end));
+        }
+        return List.copyOf(frames);
+    }
+}
