--- a/core/src/test/java/org/sardinepost/core/token/TokenTableTest.java
+++ b/core/src/test/java/org/sardinepost/core/token/TokenTableTest.java
@@ -185,6 +185,16 @@
             assertThat(send(adopter, fresh, ADOPTER_NOW)).isInstanceOf(TokenDecision.Unknown.class);
         }
 
+        @Test
+        void copyAfterTheExpiryOfAllEntriesRevivesNoToken() {
+            List<byte[]> image = image();
+            adopter.adopt(image, ADOPTER_NOW);
+            permit(adopter, fresh, ADOPTER_NOW).unknown(refusal);
+            adopter.issue(ADOPTER_NOW + LIFETIME_NANOS);
+            adopter.adopt(image, ADOPTER_NOW + LIFETIME_NANOS);
+            assertThat(send(adopter, fresh, ADOPTER_NOW + LIFETIME_NANOS)).isInstanceOf(TokenDecision.Expired.class);
+        }
+
         @Test
         void imageAboveTheCapIsRefusedWhole() {
             adopter.adopt(image(), ADOPTER_NOW);
