--- a/standins/src/main/java/org/sardinepost/standins/StandinsMain.java
+++ b/standins/src/main/java/org/sardinepost/standins/StandinsMain.java
@@ -1,10 +1,33 @@
 package org.sardinepost.standins;
 
-/** Entry point of the standins program. */
-public final class StandinsMain {
-    private StandinsMain() {}
+import org.sardinepost.standins.configuration.ConfigurationCommand;
+import org.sardinepost.standins.load.LoadCommand;
+import org.sardinepost.standins.upstream.UpstreamCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** Stand-ins for the systems around sardinepost, used by bin/local and by tests. */
+@Command(
+        name = "standins",
+        mixinStandardHelpOptions = true,
+        description = "Stand-ins for upstreams, the configuration service and callers.",
+        subcommands = {UpstreamCommand.class, ConfigurationCommand.class, LoadCommand.class, WaitCommand.class})
+public final class StandinsMain implements Runnable {
+    @Spec
+    private CommandSpec spec;
 
     public static void main(String[] args) {
-        System.exit(2);
+        int exit = new CommandLine(new StandinsMain()).execute(args);
+        if (exit != 0) {
+            System.exit(exit);
+        }
+    }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "name a stand-in: upstream, configuration, load or wait");
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/sardinepost/standins/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in configuration service. */
+package org.sardinepost.standins.configuration;
--- /dev/null
+++ b/standins/src/main/java/org/sardinepost/standins/load/LoadCommand.java
@@ -0,0 +1,133 @@
+package org.sardinepost.standins.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.client.HttpClient;
+import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.standins.AddressConverter;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Sends idempotent and non-idempotent calls at a fixed rate, then checks the promises against the upstreams' records. */
+@Command(name = "load", mixinStandardHelpOptions = true, description = "Sends calls and checks the promises.")
+public final class LoadCommand implements Callable<Integer> {
+    private static final long WAIT_FOR_LAST_ANSWERS_SECONDS = 30;
+    private static final int MAX_CONNECTIONS = 256;
+    private static final int MAX_ANSWER_BYTES = 20_000;
+    private static final double REPEATED_SHARE = 0.2;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MICROS_PER_MILLI = 1e3;
+
+    @Option(
+            names = "--daemon",
+            required = true,
+            converter = AddressConverter.class,
+            description = "caller address of a daemon")
+    private List<UpstreamId> daemons;
+
+    @Option(names = "--admin", converter = AddressConverter.class, description = "admin address of a daemon")
+    private List<UpstreamId> admins = List.of();
+
+    @Option(
+            names = "--upstream",
+            converter = AddressConverter.class,
+            description = "stand-in upstream to ask for executions")
+    private List<UpstreamId> upstreams = List.of();
+
+    @Option(names = "--read-service", required = true, description = "service for idempotent calls")
+    private String readService;
+
+    @Option(names = "--write-service", required = true, description = "service for non-idempotent calls")
+    private String writeService;
+
+    @Option(names = "--seconds", defaultValue = "10", description = "length of the run (default: ${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Option(names = "--rate", defaultValue = "200", description = "calls per second (default: ${DEFAULT-VALUE})")
+    private int rate;
+
+    @Option(
+            names = "--write-share",
+            defaultValue = "0.2",
+            description = "share of non-idempotent calls (default: ${DEFAULT-VALUE})")
+    private double writeShare;
+
+    @Option(
+            names = "--seed",
+            defaultValue = "1",
+            description = "seed of the sequence of calls (default: ${DEFAULT-VALUE})")
+    private long seed;
+
+    @Override
+    public Integer call() throws Exception {
+        HttpClient client = new HttpClient();
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+        client.start();
+        try {
+            return run(client);
+        } finally {
+            client.stop();
+        }
+    }
+
+    private int run(HttpClient client) throws Exception {
+        Tally tally = new Tally();
+        WriteLog writes = new WriteLog();
+        sendAll(new Caller(client, tally, writes));
+        Pages pages = new Pages(client);
+        WriteVerdict verdict = WriteVerdict.of(writes, pages.executions(upstreams));
+        return report(tally, verdict, pages.reasons(admins));
+    }
+
+    private void sendAll(Caller caller) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<CompletableFuture<Void>> calls = new ArrayList<>();
+        long start = System.nanoTime();
+        for (int i = 0; i < seconds * rate; i++) {
+            long due = start + (long) (i * NANOS_PER_SECOND / rate);
+            for (long left = due - System.nanoTime(); left > 0; left = due - System.nanoTime()) {
+                LockSupport.parkNanos(left);
+            }
+            calls.add(send(caller, random, "r" + seed + "-" + i));
+        }
+        CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+                .get(WAIT_FOR_LAST_ANSWERS_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<Void> send(Caller caller, SplittableRandom random, String requestId) {
+        UpstreamId daemon = daemons.get(random.nextInt(daemons.size()));
+        if (random.nextDouble() >= writeShare) {
+            return caller.read(daemon, readService, requestId, random.nextInt(MAX_ANSWER_BYTES));
+        }
+        boolean repeated = random.nextDouble() < REPEATED_SHARE;
+        return caller.write(daemon, repeated ? daemons : List.of(daemon), writeService, requestId);
+    }
+
+    private static int report(Tally tally, WriteVerdict verdict, Map<String, Long> reasons) {
+        System.out.printf("calls: %d%n", tally.calls());
+        System.out.printf("p50: %.2f ms%n", tally.percentileMicros(50) / MICROS_PER_MILLI);
+        System.out.printf("p99: %.2f ms%n", tally.percentileMicros(99) / MICROS_PER_MILLI);
+        tally.answers().forEach((answer, count) -> System.out.printf("answers %s: %d%n", answer, count));
+        reasons.forEach((reason, count) -> System.out.printf("%s: %d%n", reason, count));
+        verdict.executions()
+                .forEach((times, count) ->
+                        System.out.printf("non-idempotent requests run %d times: %d%n", times, count));
+        verdict.violations().forEach(violation -> System.out.printf("VIOLATION: %s%n", violation));
+        if (tally.wrongAnswers() > 0) {
+            System.out.printf("VIOLATION: %d answers were cut or belong to another request%n", tally.wrongAnswers());
+        }
+        boolean answeredAny = tally.answers().keySet().stream().anyMatch(answer -> answer.startsWith("200 "));
+        if (!answeredAny) {
+            System.out.println("VIOLATION: no call was answered");
+        }
+        boolean held = verdict.violations().isEmpty() && tally.wrongAnswers() == 0 && answeredAny;
+        System.out.println(held ? "promises: held" : "promises: BROKEN");
+        return held ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinepost/standins/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load driver that checks the promises. */
+package org.sardinepost.standins.load;
--- /dev/null
+++ b/standins/src/main/java/org/sardinepost/standins/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in upstream. */
+package org.sardinepost.standins.upstream;
