Add the caller path of the daemon: one service by Host, one dispatch, whole answers

sardinepostd reads settings and a services text from files, serves HTTP/1.1 and h2c on the caller address, takes a place from the dispatcher of the service, forwards with Jetty's client and holds the answer to its end. ForwardingTest sends one request through a daemon to an upstream in the same process; the shaded jar was started by hand and answered 502 for a closed upstream port and 404 for an unknown service.

--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -0,0 +1,51 @@
+package org.sardinepost.daemon;
+
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sardinepost.core.settings.DaemonSettings;
+
+/** Creates the HTTP server of the caller address: HTTP/1.1 and h2c on one port. */
+final class CallerServerFactory {
+    private static final int SELECTORS = 2;
+    private static final int ACCEPTORS = 1;
+
+    /** Upstreams decide what an encoded slash or a dot segment means; the target passes unchanged. */
+    private static final UriCompliance TARGETS = new UriCompliance("TARGETS", UriCompliance.AMBIGUOUS_VIOLATIONS);
+
+    private CallerServerFactory() {}
+
+    static Server create(DaemonSettings settings, Handler handler) {
+        QueuedThreadPool threads = new QueuedThreadPool();
+        threads.setName("caller");
+        Server server = new Server(threads);
+        HttpConfiguration http = configuration(settings);
+        ServerConnector connector = new ServerConnector(
+                server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(http), new HTTP2CServerConnectionFactory(http));
+        connector.setHost(settings.callerAddress().host());
+        connector.setPort(settings.callerAddress().port());
+        server.addConnector(connector);
+        server.setHandler(handler);
+        return server;
+    }
+
+    private static HttpConfiguration configuration(DaemonSettings settings) {
+        HttpConfiguration http = new HttpConfiguration();
+        http.setRequestHeaderSize(settings.headerLimitBytes());
+        http.setSendServerVersion(false);
+        http.setSendDateHeader(false);
+        http.setHttpCompliance(HttpCompliance.RFC9110);
+        http.setUriCompliance(TARGETS);
+        return http;
+    }
+
+    static int port(Server server) {
+        return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/ClientFactory.java
@@ -0,0 +1,57 @@
+package org.sardinepost.daemon;
+
+import java.time.Duration;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+
+/** Creates the HTTP client that passes requests and answers on unchanged. */
+final class ClientFactory {
+    private static final int SELECTORS = 2;
+    private static final int MAX_CONNECTIONS_PER_UPSTREAM = 256;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    /** Shorter than usual server idle timeouts, so that an idle connection is seldom closed while a request is written. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
+
+    private ClientFactory() {}
+
+    static HttpClient create() {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(SELECTORS);
+        connector.setConnectTimeout(CONNECT_TIMEOUT);
+        connector.setIdleTimeout(IDLE_TIMEOUT);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
+        client.setFollowRedirects(false);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        client.setUserAgentField(null);
+        client.setDefaultRequestContentType(null);
+        client.setHttpCompliance(HttpCompliance.RFC9110);
+        client.addBean(new InterimAnswersOnly(client));
+        return client;
+    }
+
+    /** Interim answers are skipped; redirects, authentication and upgrades go to the caller as they are. */
+    private static final class InterimAnswersOnly extends org.eclipse.jetty.util.component.AbstractLifeCycle {
+        private final HttpClient client;
+
+        InterimAnswersOnly(HttpClient client) {
+            this.client = client;
+        }
+
+        @Override
+        protected void doStart() {
+            client.getContentDecoderFactories().clear();
+            client.getProtocolHandlers().clear();
+            client.getProtocolHandlers().put(new ContinueProtocolHandler());
+            client.getProtocolHandlers().put(new ProcessingProtocolHandler());
+            client.getProtocolHandlers().put(new EarlyHintsProtocolHandler());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/StartFiles.java
@@ -0,0 +1,40 @@
+package org.sardinepost.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiFunction;
+import org.sardinepost.core.ini.Checked;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.settings.DaemonSettings;
+import org.sardinepost.core.settings.DaemonSettingsReader;
+import org.sardinepost.core.settings.Source;
+import org.sardinepost.core.text.ServicesText;
+import org.sardinepost.core.text.ServicesTextReader;
+
+/** The settings and, with a file as source, the services text, or every fault of them. */
+record StartFiles(Optional<DaemonSettings> settings, Optional<ServicesText> text, List<Finding> findings) {
+    static StartFiles read(Path settingsFile) {
+        Checked<DaemonSettings> settings = read(settingsFile, DaemonSettingsReader::read);
+        if (settings.value().isEmpty()) {
+            return new StartFiles(Optional.empty(), Optional.empty(), settings.findings());
+        }
+        Source source = settings.value().get().configuration();
+        if (source.kind() != Source.Kind.FILE) {
+            return new StartFiles(settings.value(), Optional.empty(), List.of());
+        }
+        Checked<ServicesText> text = read(Path.of(source.location()), ServicesTextReader::read);
+        return new StartFiles(settings.value(), text.value(), text.findings());
+    }
+
+    private static <T> Checked<T> read(Path file, BiFunction<String, String, Checked<T>> reader) {
+        try {
+            return reader.apply(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            return Checked.faulty(List.of(new Finding(
+                    file.toString(), 1, "file", "the file cannot be read: " + e, "name a readable text file")));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
@@ -0,0 +1,124 @@
+package org.sardinepost.daemon.call;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+
+/** Collects one answer until its end. */
+final class AnswerCollector implements Response.Listener {
+    private static final int NO_LENGTH = -1;
+
+    private final Request exchange;
+    private final long limitBytes;
+    private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
+    private volatile boolean writing;
+    private volatile boolean answerBegun;
+    private BodyBuffer body = new BodyBuffer(0);
+
+    AnswerCollector(Request exchange, long limitBytes) {
+        this.exchange = exchange;
+        this.limitBytes = limitBytes;
+        var unused = answer.whenComplete((held, failure) -> {
+            if (answer.isCancelled()) {
+                abort(new CancellationException("the call was given up"));
+            }
+        });
+    }
+
+    CompletableFuture<HeldAnswer> answer() {
+        return answer;
+    }
+
+    /** Notes when the first byte may leave; before that the request is known not to have run. */
+    Request.Listener requestListener() {
+        return new Request.Listener() {
+            @Override
+            public void onBegin(Request request) {
+                writing = true;
+            }
+        };
+    }
+
+    @Override
+    public void onBegin(Response response) {
+        answerBegun = true;
+    }
+
+    @Override
+    public void onHeaders(Response response) {
+        long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+        if (!hasBody(response) || length <= 0) {
+            return;
+        }
+        if (length > limitBytes) {
+            tooLarge();
+            return;
+        }
+        body = new BodyBuffer((int) length);
+    }
+
+    @Override
+    public void onContent(Response response, ByteBuffer content) {
+        if (body.size() + (long) content.remaining() > limitBytes) {
+            tooLarge();
+            return;
+        }
+        body.append(content);
+    }
+
+    private void tooLarge() {
+        fail(SendException.Kind.ANSWER_TOO_LARGE, "the answer exceeds " + limitBytes + " bytes", null);
+        abort(new IllegalStateException("the answer is too large"));
+    }
+
+    /** Ends the exchange and closes its connection; the result arrives at onComplete. */
+    private void abort(Throwable cause) {
+        var unused = exchange.abort(cause);
+    }
+
+    @Override
+    public void onComplete(Result result) {
+        if (result.isFailed()) {
+            fail(failureKind(), "the exchange failed: " + result.getFailure(), result.getFailure());
+            return;
+        }
+        Response response = result.getResponse();
+        if (!endIsKnown(response)) {
+            fail(SendException.Kind.ANSWER_INCOMPLETE, "the answer has neither a length nor chunks", null);
+            return;
+        }
+        answer.complete(
+                new HeldAnswer(response.getStatus(), EndToEndHeaders.of(response.getHeaders()), body.toByteBuffer()));
+    }
+
+    private SendException.Kind failureKind() {
+        if (!writing) {
+            return SendException.Kind.NOT_WRITTEN;
+        }
+        return answerBegun ? SendException.Kind.ANSWER_INCOMPLETE : SendException.Kind.CONNECTION_LOST;
+    }
+
+    /** A body that ends with its connection may have been cut, so it does not count as whole. */
+    private boolean endIsKnown(Response response) {
+        return !hasBody(response)
+                || response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) != NO_LENGTH
+                || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, "chunked");
+    }
+
+    private boolean hasBody(Response response) {
+        int status = response.getStatus();
+        return !HttpMethod.HEAD.is(exchange.getMethod())
+                && status != HttpStatus.NO_CONTENT_204
+                && status != HttpStatus.NOT_MODIFIED_304;
+    }
+
+    private void fail(SendException.Kind kind, String message, Throwable cause) {
+        answer.completeExceptionally(new SendException(kind, message, cause));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallHeaders.java
@@ -0,0 +1,17 @@
+package org.sardinepost.daemon.call;
+
+/** Names of the public headers; docs/callers.md describes them. */
+public final class CallHeaders {
+    public static final String CONTEXT = "Sardinepost-Context";
+    public static final String DEADLINE_MS = "Sardinepost-Deadline-Ms";
+    public static final String TOKEN = "Idempotency-Token";
+    public static final String TOKEN_REQUEST = "Idempotency-Token-Request";
+    public static final String OUTCOME = "Sardinepost-Outcome";
+    public static final String REASON = "Sardinepost-Reason";
+    public static final String LOAD = "Sardinepost-Load";
+    public static final String DRAINING = "Sardinepost-Draining";
+    public static final String NOT_RUN = "Sardinepost-Not-Run";
+    public static final String FORWARDED = "Sardinepost-Forwarded";
+
+    private CallHeaders() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/HostName.java
@@ -0,0 +1,19 @@
+package org.sardinepost.daemon.call;
+
+import java.util.Locale;
+
+/** The host part of a Host header. */
+final class HostName {
+    private HostName() {}
+
+    static String withoutPort(String hostHeader) {
+        int colon = hostHeader.lastIndexOf(':');
+        boolean inBrackets = hostHeader.indexOf(']') > colon;
+        return colon < 0 || inBrackets ? hostHeader : hostHeader.substring(0, colon);
+    }
+
+    /** Host names are compared without case. */
+    static String normalized(String host) {
+        return host.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/OwnAnswers.java
@@ -0,0 +1,23 @@
+package org.sardinepost.daemon.call;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.sardinepost.core.call.RefusedException;
+
+/** Builds the daemon's own answers. */
+public final class OwnAnswers {
+    private OwnAnswers() {}
+
+    /** An answer with outcome and reason headers and a text body that names reason and remedy. */
+    public static HeldAnswer of(RefusedException refused) {
+        String text = refused.reason().label() + ": " + refused.getMessage() + "\n";
+        HttpFields headers = HttpFields.build()
+                .put(HttpHeader.CONTENT_TYPE, "text/plain;charset=utf-8")
+                .put(CallHeaders.OUTCOME, refused.outcome().label())
+                .put(CallHeaders.REASON, refused.reason().label());
+        return new HeldAnswer(
+                refused.reason().status(), headers, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
@@ -0,0 +1,69 @@
+package org.sardinepost.daemon.call;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.sardinepost.core.routing.Dispatcher;
+import org.sardinepost.core.routing.Upstream;
+import org.sardinepost.core.text.Service;
+import org.sardinepost.core.text.ServicesText;
+
+/**
+ * The services in force. Traffic threads read an immutable snapshot; the control thread replaces it.
+ *
+ * <p>A service whose name stays keeps its dispatcher, since the dispatcher holds the counts of calls in progress.
+ */
+public final class ServiceRegistry {
+    private final Function<Service, Dispatcher> dispatchers;
+    private final LongSupplier nanoClock;
+    private volatile Snapshot snapshot = new Snapshot(Map.of(), Map.of());
+
+    public ServiceRegistry(Function<Service, Dispatcher> dispatchers, LongSupplier nanoClock) {
+        this.dispatchers = dispatchers;
+        this.nanoClock = nanoClock;
+    }
+
+    /** Puts a text in force, with upstreams by service name beyond those that the text lists. */
+    public synchronized void apply(ServicesText text, Map<String, List<Upstream>> extraUpstreams) {
+        Map<String, RegisteredService> byName = new HashMap<>();
+        Map<String, RegisteredService> byHost = new HashMap<>();
+        for (Service service : text.services()) {
+            RegisteredService registered = register(service, extraUpstreams.getOrDefault(service.name(), List.of()));
+            byName.put(service.name(), registered);
+            service.hosts().forEach(host -> byHost.put(HostName.normalized(host), registered));
+        }
+        byName.forEach((name, registered) -> byHost.put(HostName.normalized(name), registered));
+        snapshot = new Snapshot(Map.copyOf(byName), Map.copyOf(byHost));
+    }
+
+    private RegisteredService register(Service service, List<Upstream> extra) {
+        Dispatcher dispatcher =
+                named(service.name()).map(RegisteredService::dispatcher).orElseGet(() -> dispatchers.apply(service));
+        List<Upstream> upstreams = new ArrayList<>(service.upstreams());
+        extra.stream()
+                .filter(added ->
+                        upstreams.stream().noneMatch(known -> known.id().equals(added.id())))
+                .forEach(upstreams::add);
+        dispatcher.update(upstreams, nanoClock.getAsLong());
+        return new RegisteredService(service, dispatcher);
+    }
+
+    public Optional<RegisteredService> named(String name) {
+        return Optional.ofNullable(snapshot.byName().get(name));
+    }
+
+    /** The service that a Host header means; a port in it is ignored. */
+    public Optional<RegisteredService> forHost(String hostHeader) {
+        return Optional.ofNullable(snapshot.byHost().get(HostName.normalized(HostName.withoutPort(hostHeader))));
+    }
+
+    public Iterable<RegisteredService> services() {
+        return snapshot.byName().values();
+    }
+
+    private record Snapshot(Map<String, RegisteredService> byName, Map<String, RegisteredService> byHost) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon program and the wiring of its parts. */
+package org.sardinepost.daemon;
--- /dev/null
+++ b/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
@@ -0,0 +1,37 @@
+package org.sardinepost.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.eclipse.jetty.io.Content;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.text.Service;
+
+/** Guards against calls that reach the wrong service or lose a part on their way. */
+final class ForwardingTest {
+    @Test
+    void passesRequestAndAnswerOnWhole() throws Exception {
+        try (TestUpstream upstream = new TestUpstream((request, body, response, callback) -> {
+                    response.setStatus(201);
+                    response.getHeaders().put("Piece", "42");
+                    Content.Sink.write(response, true, "recut " + body, callback);
+                });
+                Daemon daemon = TestDaemon.start(TestDaemon.settings(), catalogue(upstream))) {
+            String answer = RawCaller.exchange(
+                    daemon.callerPort(),
+                    RawCaller.request("POST /a%2Fb?x=1 HTTP/1.1", "Host: catalogue", "Content-Length: 6") + "corner");
+
+            assertThat(answer).startsWith("HTTP/1.1 201 Created\r\n");
+            assertThat(answer).contains("\r\nPiece: 42\r\n");
+            assertThat(answer).endsWith("\r\n\r\nrecut corner");
+            assertThat(upstream.requests().get(0).getHttpURI().getPathQuery()).isEqualTo("/a%2Fb?x=1");
+        }
+    }
+
+    private static Service catalogue(TestUpstream upstream) {
+        return Service.builder("catalogue")
+                .external(true)
+                .upstreams(List.of(upstream.upstream()))
+                .build();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sardinepost/daemon/TestUpstream.java
@@ -0,0 +1,60 @@
+package org.sardinepost.daemon;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.sardinepost.core.routing.Upstream;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** An upstream in this process that records the requests it received. */
+final class TestUpstream extends Handler.Abstract implements AutoCloseable {
+    /** What the upstream does with one request. */
+    interface Behaviour {
+        void answer(Request request, String body, Response response, Callback callback) throws Exception;
+    }
+
+    private final Server server = new Server();
+    private final ServerConnector connector = new ServerConnector(server, 1, 1);
+    private final Behaviour behaviour;
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+
+    TestUpstream(Behaviour behaviour) throws Exception {
+        this.behaviour = behaviour;
+        connector.setHost("127.0.0.1");
+        connector
+                .getConnectionFactory(HttpConnectionFactory.class)
+                .getHttpConfiguration()
+                .setUriCompliance(UriCompliance.UNSAFE);
+        server.addConnector(connector);
+        server.setHandler(this);
+        server.start();
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        requests.add(request);
+        behaviour.answer(request, Content.Source.asString(request), response, callback);
+        return true;
+    }
+
+    List<Request> requests() {
+        return requests;
+    }
+
+    Upstream upstream() {
+        return new Upstream(new UpstreamId("127.0.0.1", connector.getLocalPort()), "test-1");
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.stop();
+    }
+}
