Add the configuration and membership decisions of the control side

Daemons must agree on one services text without shared state, and must give no new work to a leaving upstream although the VM list lags. core.configuration orders texts by version and, within a version, by the earlier submission; it cuts texts into sections by digest, schedules fetches by rendezvous rank, and keeps a started daemon unready until its peers were asked. core.membership combines list, own observations and peers' marks, and detects pauses.

--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/configuration/ConfigurationConflict.java
@@ -0,0 +1,18 @@
+package org.sardinepost.core.configuration;
+
+import java.util.Objects;
+
+/** Two services texts with the same version and different content. */
+public record ConfigurationConflict(
+        long version, long keptRevision, TextDigest kept, long refusedRevision, TextDigest refused) {
+    public ConfigurationConflict {
+        Objects.requireNonNull(kept);
+        Objects.requireNonNull(refused);
+    }
+
+    @Override
+    public String toString() {
+        return "version " + version + " was submitted twice: revision " + keptRevision + " is in force, revision "
+                + refusedRevision + " is refused; submit the refused change again with a higher version";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/configuration/RefusedText.java
@@ -0,0 +1,14 @@
+package org.sardinepost.core.configuration;
+
+import java.util.List;
+import java.util.Objects;
+import org.sardinepost.core.ini.Finding;
+
+/** A services text that was refused because of its faults. */
+public record RefusedText(long revision, TextOrigin origin, TextDigest digest, List<Finding> findings) {
+    public RefusedText {
+        Objects.requireNonNull(origin);
+        Objects.requireNonNull(digest);
+        findings = List.copyOf(findings);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/configuration/ConfigurationFleetTest.java
@@ -0,0 +1,208 @@
+package org.sardinepost.core.configuration;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.routing.UpstreamId;
+
+/**
+ * Guards against a version that goes back on a daemon and against daemons that end with different texts.
+ *
+ * <p>A seeded sequence of submissions, stale reads, lost and altered messages, partitions and restarts runs on a few
+ * daemons. The oracle is the list of submissions. More seeds: {@code -Dsardinepost.seeds=5000}.
+ */
+class ConfigurationFleetTest {
+    private static final int SEEDS = Integer.getInteger("sardinepost.seeds", 150);
+    private static final int STEPS = 250;
+    private static final int DAEMONS = 4;
+
+    @Test
+    void noVersionGoesBackAndAllDaemonsConverge() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            new Fleet(seed).run();
+        }
+    }
+
+    private record Submission(long revision, long version, String content) {}
+
+    private static final class Daemon {
+        private ConfigurationHolder holder = SampleTexts.holder();
+        private StartGate gate = new StartGate(0);
+        private boolean ready;
+        private long highestServed;
+    }
+
+    private static final class Fleet {
+        private final int seed;
+        private final Random random;
+        private final List<Daemon> daemons =
+                IntStream.range(0, DAEMONS).mapToObj(index -> new Daemon()).toList();
+        private final Set<Integer> cut = new TreeSet<>();
+        private final List<Submission> submissions = new ArrayList<>();
+        private long version = 1;
+
+        Fleet(int seed) {
+            this.seed = seed;
+            this.random = new Random(seed);
+            submissions.add(new Submission(1, 1, SampleTexts.valid(1, "first")));
+        }
+
+        void run() {
+            for (int step = 0; step < STEPS; step++) {
+                act();
+                daemons.forEach(this::checkServed);
+            }
+            cut.clear();
+            settle();
+            checkConverged();
+        }
+
+        private void act() {
+            Daemon daemon = daemons.get(random.nextInt(DAEMONS));
+            switch (random.nextInt(12)) {
+                case 0 -> submit(++version, true);
+                case 1 -> submit(version, true);
+                case 2 -> submit(version + 1, false);
+                case 3 -> submit(1 + random.nextInt((int) version), true);
+                case 4 -> restart(daemon);
+                case 5 -> togglePartition();
+                case 6, 7 -> read(daemon);
+                default -> exchange(random.nextInt(DAEMONS), random.nextInt(DAEMONS), true);
+            }
+            start(daemon);
+        }
+
+        private void submit(long newVersion, boolean valid) {
+            long revision = submissions.size() + 1L;
+            String content =
+                    valid ? SampleTexts.valid(newVersion, "revision " + revision) : SampleTexts.invalid(newVersion);
+            submissions.add(new Submission(revision, newVersion, content));
+        }
+
+        /** Reads from a replica of the service that may be stale. */
+        private void read(Daemon daemon) {
+            Submission read = submissions.get(random.nextInt(submissions.size()));
+            daemon.holder.offer(new CandidateText(read.revision(), read.content(), TextOrigin.SERVICE));
+        }
+
+        private void restart(Daemon daemon) {
+            daemon.holder = SampleTexts.holder();
+            daemon.gate = new StartGate(0);
+            daemon.ready = false;
+        }
+
+        /** Asks every reachable peer; time is before the limit, so the gate opens only with proof. */
+        private void start(Daemon daemon) {
+            int self = daemons.indexOf(daemon);
+            Set<Integer> reachable = IntStream.range(0, DAEMONS)
+                    .filter(peer -> peer != self && connected(peer, self))
+                    .boxed()
+                    .collect(Collectors.toSet());
+            if (daemon.ready || reachable.isEmpty()) {
+                return;
+            }
+            for (int peer : reachable) {
+                daemon.gate.answered(address(peer), daemons.get(peer).holder.version(), 0);
+                exchange(peer, self, true);
+            }
+            Set<UpstreamId> peers = reachable.stream().map(Fleet::address).collect(Collectors.toSet());
+            if (daemon.gate.decide(peers, true, daemon.holder.version(), 0) != StartDecision.READY) {
+                return;
+            }
+            daemon.ready = true;
+            long peersHighest = reachable.stream()
+                    .mapToLong(peer -> daemons.get(peer).holder.version())
+                    .max()
+                    .orElse(0);
+            daemon.highestServed = Math.min(daemon.highestServed, peersHighest);
+        }
+
+        private void exchange(int from, int to, boolean lossy) {
+            ConfigurationHolder sender = daemons.get(from).holder;
+            ConfigurationHolder receiver = daemons.get(to).holder;
+            if (from == to || !connected(from, to) || sender.inForce().isEmpty()) {
+                return;
+            }
+            AcceptedText offered = sender.inForce().get();
+            receiver.noteSame(offered.revision(), offered.digest());
+            receiver.noteOffer(offered.version(), offered.revision(), offered.digest());
+            if (!receiver.wants(offered.version(), offered.revision(), offered.digest())) {
+                return;
+            }
+            TextParts held = receiver.inForce().map(AcceptedText::parts).orElse(TextParts.empty());
+            List<String> received = held.missing(offered.parts().digests()).stream()
+                    .map(digest -> offered.parts().section(digest).orElseThrow())
+                    .map(section -> lossy ? disturb(section) : section)
+                    .filter(section -> !section.isEmpty())
+                    .toList();
+            TextParts.assemble(offered.parts().digests(), held, received)
+                    .ifPresent(parts ->
+                            receiver.offer(new CandidateText(offered.revision(), parts.text(), TextOrigin.PEER)));
+        }
+
+        private String disturb(String section) {
+            return switch (random.nextInt(10)) {
+                case 0 -> "";
+                case 1 -> section.replace("version = ", "version = 9");
+                default -> section;
+            };
+        }
+
+        private void togglePartition() {
+            int daemon = random.nextInt(DAEMONS);
+            if (!cut.remove(daemon)) {
+                cut.add(daemon);
+            }
+        }
+
+        private boolean connected(int from, int to) {
+            return cut.contains(from) == cut.contains(to);
+        }
+
+        private void settle() {
+            for (int round = 0; round < DAEMONS; round++) {
+                for (int pair = 0; pair < DAEMONS * DAEMONS; pair++) {
+                    exchange(pair / DAEMONS, pair % DAEMONS, false);
+                }
+            }
+        }
+
+        private void checkServed(Daemon daemon) {
+            if (!daemon.ready) {
+                return;
+            }
+            assertWithMessage("version in force, seed %s", seed)
+                    .that(daemon.holder.version())
+                    .isAtLeast(daemon.highestServed);
+            daemon.highestServed = daemon.holder.version();
+        }
+
+        private void checkConverged() {
+            Set<String> texts = daemons.stream()
+                    .map(daemon ->
+                            daemon.holder.inForce().map(held -> held.parts().text()))
+                    .map(text -> text.orElse(""))
+                    .collect(Collectors.toSet());
+            assertWithMessage("texts in force after healing, seed %s", seed)
+                    .that(texts)
+                    .hasSize(1);
+            String text = Objects.requireNonNull(Collections.max(texts));
+            assertWithMessage("submitted texts, seed %s", seed)
+                    .that(submissions.stream().map(Submission::content).toList())
+                    .contains(text.isEmpty() ? submissions.get(0).content() : text);
+        }
+
+        private static UpstreamId address(int daemon) {
+            return new UpstreamId("10.0.0." + daemon, 8082);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/configuration/ConfigurationHolderTest.java
@@ -0,0 +1,87 @@
+package org.sardinepost.core.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.sardinepost.core.configuration.SampleTexts.holder;
+import static org.sardinepost.core.configuration.SampleTexts.invalid;
+import static org.sardinepost.core.configuration.SampleTexts.valid;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a services text in force that is older, faulty or silently overwritten. */
+class ConfigurationHolderTest {
+    private final ConfigurationHolder holder = holder();
+
+    @Nested
+    class Versions {
+        @Test
+        void aStaleSourceDoesNotBringBackALowerVersion() {
+            offer(7, valid(3, "new"));
+            assertThat(offer(9, valid(2, "old"))).isEqualTo(OfferDecision.OLDER);
+            assertThat(holder.version()).isEqualTo(3);
+        }
+    }
+
+    @Nested
+    class Faults {
+        @Test
+        void aFaultyTextLeavesTheLastGoodOneInForceWithItsFindingsVisible() {
+            offer(1, valid(1, "good"));
+            assertThat(offer(2, invalid(2))).isEqualTo(OfferDecision.INVALID);
+            assertThat(holder.version()).isEqualTo(1);
+            assertThat(holder.refused().orElseThrow().findings()).isNotEmpty();
+        }
+
+        @Test
+        void aRefusedTextIsNotFetchedAgain() {
+            offer(2, invalid(2));
+            assertThat(holder.wants(2, 2, digest(invalid(2)))).isFalse();
+        }
+    }
+
+    @Nested
+    class Conflicts {
+        @Test
+        void theLaterSubmissionOfTheSameVersionIsRefusedAndVisible() {
+            offer(5, valid(2, "first"));
+            assertThat(offer(6, valid(2, "second"))).isEqualTo(OfferDecision.CONFLICT_REFUSED);
+            assertThat(inForce()).isEqualTo(valid(2, "first"));
+            assertThat(holder.conflict().orElseThrow().refusedRevision()).isEqualTo(6);
+        }
+
+        @Test
+        void aDaemonThatSawOnlyTheLaterSubmissionSwitchesToTheEarlierOne() {
+            offer(6, valid(2, "second"));
+            assertThat(offer(5, valid(2, "first"))).isEqualTo(OfferDecision.CONFLICT_REPLACED);
+            assertThat(inForce()).isEqualTo(valid(2, "first"));
+            assertThat(holder.conflict().orElseThrow().keptRevision()).isEqualTo(5);
+        }
+
+        @Test
+        void aHigherVersionEndsTheConflict() {
+            offer(5, valid(2, "first"));
+            offer(6, valid(2, "second"));
+            offer(7, valid(3, "third"));
+            assertThat(holder.conflict()).isEmpty();
+        }
+
+        @Test
+        void aRepeatedSubmissionKeepsItsFirstRevision() {
+            offer(9, valid(2, "first"));
+            offer(5, valid(2, "first"));
+            assertThat(offer(7, valid(2, "second"))).isEqualTo(OfferDecision.CONFLICT_REFUSED);
+        }
+    }
+
+    private OfferDecision offer(long revision, String content) {
+        return holder.offer(new CandidateText(revision, content, TextOrigin.SERVICE));
+    }
+
+    private String inForce() {
+        return holder.inForce().orElseThrow().parts().text();
+    }
+
+    private static TextDigest digest(String content) {
+        return TextParts.of(content).textDigest();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/membership/PauseDetectorTest.java
@@ -0,0 +1,64 @@
+package org.sardinepost.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.EnumSet;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a resumed process that dispatches on the state from before its pause. */
+class PauseDetectorTest {
+    private final PauseDetector detector = new PauseDetector(EnumSet.allOf(Evidence.class), 0, 0);
+
+    @Test
+    void ordinaryTicksHoldNothing() {
+        for (int tick = 1; tick <= 50; tick++) {
+            assertThat(tick(tick * 100L, tick * 100L)).isFalse();
+        }
+        assertThat(allowed(5_900, 5_900)).isTrue();
+    }
+
+    @Test
+    void aDispatchBeforeTheFirstTickFindsThePause() {
+        assertThat(allowed(5_000, 5_000)).isFalse();
+        assertThat(tick(5_050, 5_050)).isTrue();
+        assertThat(tick(5_150, 5_150)).isFalse();
+    }
+
+    @Test
+    void aGapOnTheWallClockAloneCounts() {
+        assertThat(tick(100, 5_000)).isTrue();
+        assertThat(allowed(150, 5_050)).isFalse();
+    }
+
+    @Test
+    void bothKindsOfEvidenceEndTheHold() {
+        tick(5_000, 5_000);
+        detector.learned(Evidence.VM_LIST);
+        assertThat(allowed(5_100, 5_100)).isFalse();
+        detector.learned(Evidence.PEER);
+        assertThat(allowed(5_200, 5_200)).isTrue();
+    }
+
+    @Test
+    void theHoldEndsAfterASecondWithoutEvidence() {
+        tick(5_000, 5_000);
+        tick(5_500, 5_500);
+        assertThat(allowed(5_999, 5_999)).isFalse();
+        assertThat(allowed(6_000, 6_000)).isTrue();
+    }
+
+    @Test
+    void aWallClockThatIsSetBackIsNoPauseAndHidesNone() {
+        assertThat(tick(100, -3_600_000)).isFalse();
+        assertThat(tick(200, -3_500_000)).isTrue();
+    }
+
+    private boolean tick(long nowMillis, long wallMillis) {
+        return detector.tick(TimeUnit.MILLISECONDS.toNanos(nowMillis), wallMillis);
+    }
+
+    private boolean allowed(long nowMillis, long wallMillis) {
+        return detector.dispatchAllowed(TimeUnit.MILLISECONDS.toNanos(nowMillis), wallMillis);
+    }
+}
