--- a/core/src/main/java/org/sardinepost/core/ini/IniParser.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniParser.java
@@ -4,6 +4,7 @@
 import java.io.StringReader;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 
@@ -29,11 +30,13 @@
             if (line.isEmpty() || line.startsWith("#") || line.startsWith(";")) {
                 continue;
             }
-            if (line.startsWith("[")) {
+            Optional<SectionHeader> header = SectionHeader.parse(line);
+            if (header.isPresent()) {
                 close(sections, name, sectionLine, entries);
-                name = sectionName(line, file, number, faults);
+                name = header.get().name();
                 sectionLine = number;
                 entries = new ArrayList<>();
+                checkClosed(header.get(), line, file, number, faults);
                 continue;
             }
             parseEntry(line, file, number, faults, entries);
@@ -49,13 +52,10 @@
         sections.add(new IniSection(name, line, entries));
     }
 
-    private static String sectionName(String line, String file, int number, List<Finding> faults) {
-        int end = line.indexOf(']');
-        if (end < 0) {
+    private static void checkClosed(SectionHeader header, String line, String file, int number, List<Finding> faults) {
+        if (!header.closed()) {
             faults.add(new Finding(file, number, line, "the section header has no closing bracket", "write [NAME]"));
-            return line.substring(1).trim();
         }
-        return line.substring(1, end).trim();
     }
 
     private static void parseEntry(String line, String file, int number, List<Finding> faults, List<IniEntry> entries) {
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/text/TextSection.java
@@ -0,0 +1,16 @@
+package org.sardinepost.core.text;
+
+import java.util.Objects;
+
+/**
+ * The raw text of one section.
+ *
+ * @param name the name in the header; empty for the text before the first header
+ * @param content the header line and the lines up to the next header, with their line ends
+ */
+public record TextSection(String name, String content) {
+    public TextSection {
+        Objects.requireNonNull(name);
+        Objects.requireNonNull(content);
+    }
+}
