Add RetryBudget, which limits retries to a share of a service's calls

The daemon and the decision code need one account per service that keeps retries from multiplying the load on a failing service. Each call earns the share, each retry costs one, and balance older than ten seconds is lost.

--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/retry/RetryBudget.java
@@ -0,0 +1,77 @@
+package org.sardinepost.core.retry;
+
+/**
+ * Limits the retries of one service to a share of its calls.
+ *
+ * <p>Each call earns the share and each retry costs one. Balance that was earned more than ten seconds ago is lost, so
+ * that a long quiet period can't pay for a burst of retries during an outage. Nothing is granted in advance: the number of
+ * retries never exceeds the share of the calls recorded so far.
+ */
+public final class RetryBudget {
+    private static final long BUCKET_NANOS = 1_000_000_000L;
+    private static final int BUCKETS = 10;
+    /** Balances are counted in millionths of a retry, since sums of fractions such as 0.1 are not exact. */
+    private static final long RETRY_MICROS = 1_000_000L;
+
+    private final long shareMicros;
+    private final long[] earnedMicros = new long[BUCKETS];
+    private long currentBucket = Long.MIN_VALUE;
+
+    /** @param share retries allowed per call, for example 0.1 */
+    public RetryBudget(double share) {
+        if (!(share >= 0 && share <= 1)) {
+            throw new IllegalArgumentException("retry share " + share + " must be between 0 and 1");
+        }
+        this.shareMicros = Math.round(share * RETRY_MICROS);
+    }
+
+    /** Records a call that is not itself a retry. */
+    public synchronized void recordCall(long nowNanos) {
+        advance(nowNanos);
+        earnedMicros[index(currentBucket)] += shareMicros;
+    }
+
+    /** Takes one retry from the budget; false if the budget is used up. */
+    public synchronized boolean tryRetry(long nowNanos) {
+        advance(nowNanos);
+        if (balanceMicros() < RETRY_MICROS) {
+            return false;
+        }
+        spendOldestFirst();
+        return true;
+    }
+
+    private void advance(long nowNanos) {
+        long bucket = Math.floorDiv(nowNanos, BUCKET_NANOS);
+        if (currentBucket == Long.MIN_VALUE) {
+            currentBucket = bucket;
+        }
+        long expired = Math.min(bucket - currentBucket, BUCKETS);
+        for (long i = 1; i <= expired; i++) {
+            earnedMicros[index(currentBucket + i)] = 0;
+        }
+        currentBucket = Math.max(currentBucket, bucket);
+    }
+
+    private long balanceMicros() {
+        long sum = 0;
+        for (long earned : earnedMicros) {
+            sum += earned;
+        }
+        return sum;
+    }
+
+    private void spendOldestFirst() {
+        long open = RETRY_MICROS;
+        for (int age = BUCKETS - 1; open > 0; age--) {
+            int i = index(currentBucket - age);
+            long taken = Math.min(open, earnedMicros[i]);
+            earnedMicros[i] -= taken;
+            open -= taken;
+        }
+    }
+
+    private static int index(long bucket) {
+        return (int) Math.floorMod(bucket, (long) BUCKETS);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on retries. */
+package org.sardinepost.core.retry;
