--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/ini/FileFormat.java
@@ -0,0 +1,15 @@
+package org.sardinepost.core.ini;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The kinds of section that a file may have. */
+public record FileFormat(List<SectionFormat> sections) {
+    public FileFormat {
+        sections = List.copyOf(sections);
+    }
+
+    public Optional<SectionFormat> formatOf(IniSection section) {
+        return sections.stream().filter(format -> format.matches(section)).findFirst();
+    }
+}
--- a/core/src/main/java/org/sardinepost/core/ini/IniParser.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniParser.java
@@ -1,81 +1,90 @@
 package org.sardinepost.core.ini;
 
-import java.io.IOException;
-import java.io.StringReader;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.ex.ConfigurationException;
 
 /**
- * Reads INI text into sections and entries that know their lines.
+ * Splits INI text into sections and entries that know their lines.
  *
- * <p>The library parses each line, but keeps no line numbers and merges repeated sections; hence every line is given to it
- * on its own.
+ * <p>The library keeps no line numbers and merges repeated sections and keys. Therefore the lines are told apart here, and
+ * the library reads the values of one section at a time.
  */
 public final class IniParser {
+    private static final Problem NO_ENTRY = new Problem("the line is no entry", "write KEY = VALUE");
+    /** The library joins a line with the next one if a backslash stands at its end or before a comment. */
+    private static final Problem BACKSLASH =
+            new Problem("the line contains a backslash", "write the whole value on one line without backslashes");
+
+    private static final Problem QUOTED_VALUE = new Problem("the value is quoted", "write it without quotation marks");
+
+    private final List<IniSection> sections = new ArrayList<>();
+    private final List<MalformedLine> malformedLines = new ArrayList<>();
+    private String name = "";
+    private int headerLine;
+    private List<IniEntry> rawEntries = new ArrayList<>();
+
     private IniParser() {}
 
-    /** Parses the text. Lines that are neither section, entry, comment nor blank are reported to {@code faults}. */
-    public static IniDocument parse(String file, String text, List<Finding> faults) {
-        List<IniSection> sections = new ArrayList<>();
-        String name = "";
-        int sectionLine = 1;
-        List<IniEntry> entries = new ArrayList<>();
+    public static IniDocument parse(String file, String text) {
+        IniParser parser = new IniParser();
         int number = 0;
-        for (String raw : text.lines().toList()) {
+        for (String line : text.lines().toList()) {
             number++;
-            String line = raw.trim();
-            if (line.isEmpty() || line.startsWith("#") || line.startsWith(";")) {
-                continue;
-            }
-            Optional<SectionHeader> header = SectionHeader.parse(line);
-            if (header.isPresent()) {
-                close(sections, name, sectionLine, entries);
-                name = header.get().name();
-                sectionLine = number;
-                entries = new ArrayList<>();
-                checkClosed(header.get(), line, file, number, faults);
-                continue;
-            }
-            parseEntry(line, file, number, faults, entries);
+            parser.addLine(line.trim(), number);
         }
-        close(sections, name, sectionLine, entries);
-        return new IniDocument(file, sections);
+        parser.closeSection();
+        return new IniDocument(file, parser.sections, parser.malformedLines);
     }
 
-    private static void close(List<IniSection> sections, String name, int line, List<IniEntry> entries) {
-        if (name.isEmpty() && entries.isEmpty()) {
+    /** Whether the trimmed text is a comment. */
+    static boolean comment(String text) {
+        return text.startsWith(";") || text.startsWith("#");
+    }
+
+    private void addLine(String line, int number) {
+        if (line.isEmpty() || comment(line)) {
+            return;
+        }
+        Optional<SectionHeader> header = SectionHeader.parse(line);
+        if (header.isPresent()) {
+            openSection(header.get(), line, number);
             return;
         }
-        sections.add(new IniSection(name, line, entries));
+        Optional<Problem> problem = entryProblem(line);
+        problem.ifPresent(found -> malformedLines.add(new MalformedLine(number, line, found)));
+        if (problem.isEmpty()) {
+            int equals = line.indexOf('=');
+            String key = line.substring(0, equals).trim();
+            rawEntries.add(new IniEntry(key, line.substring(equals + 1).trim(), number));
+        }
     }
 
-    private static void checkClosed(SectionHeader header, String line, String file, int number, List<Finding> faults) {
-        if (!header.closed()) {
-            faults.add(new Finding(file, number, line, "the section header has no closing bracket", "write [NAME]"));
-        }
+    private void openSection(SectionHeader header, String line, int number) {
+        closeSection();
+        name = header.name();
+        headerLine = number;
+        rawEntries = new ArrayList<>();
+        header.problem().ifPresent(problem -> malformedLines.add(new MalformedLine(number, line, problem)));
     }
 
-    private static void parseEntry(String line, String file, int number, List<Finding> faults, List<IniEntry> entries) {
-        if (line.indexOf('=') <= 0) {
-            faults.add(new Finding(file, number, line, "the line is not an entry", "write KEY = VALUE"));
+    private void closeSection() {
+        boolean beforeFirstHeader = headerLine == 0;
+        if (beforeFirstHeader && rawEntries.isEmpty()) {
             return;
         }
-        INIConfiguration configuration = new INIConfiguration();
-        configuration.setSeparatorUsedInInput("=");
-        try {
-            configuration.read(new StringReader(line));
-        } catch (ConfigurationException | IOException e) {
-            faults.add(
-                    new Finding(file, number, line, "the line cannot be read: " + e.getMessage(), "write KEY = VALUE"));
-            return;
+        sections.add(new IniSection(name, Math.max(1, headerLine), IniValues.read(rawEntries)));
+    }
+
+    private static Optional<Problem> entryProblem(String line) {
+        int equals = line.indexOf('=');
+        if (equals <= 0) {
+            return Optional.of(NO_ENTRY);
+        }
+        String value = line.substring(equals + 1).trim();
+        if (value.contains("\\")) {
+            return Optional.of(BACKSLASH);
         }
-        String key = line.substring(0, line.indexOf('=')).trim();
-        String value = configuration.getKeys().hasNext()
-                ? configuration.getString(configuration.getKeys().next(), "")
-                : "";
-        entries.add(new IniEntry(key, value.trim(), number));
+        return value.startsWith("\"") || value.startsWith("'") ? Optional.of(QUOTED_VALUE) : Optional.empty();
     }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/IniSection.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniSection.java
@@ -18,4 +18,14 @@
     public Optional<String> value(String key) {
         return entry(key).map(IniEntry::value);
     }
+
+    /** The section as findings name it. */
+    public String label() {
+        return "[" + name + "]";
+    }
+
+    /** A key of the section as findings name it. */
+    public String label(String key) {
+        return label() + " " + key;
+    }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/SectionHeader.java
+++ b/core/src/main/java/org/sardinepost/core/ini/SectionHeader.java
@@ -10,6 +10,10 @@
  * @param rest what follows the closing bracket, comments included
  */
 public record SectionHeader(String name, boolean closed, String rest) {
+    private static final Problem NOT_CLOSED = new Problem("the section header has no closing bracket", "write [NAME]");
+    private static final Problem TEXT_AFTER_HEADER = new Problem(
+            "there is text after the section header", "move it to its own line, or write it as a comment after \";\"");
+
     /** The header in the line; empty if the line is no section header. */
     public static Optional<SectionHeader> parse(String line) {
         String trimmed = line.trim();
@@ -24,4 +28,15 @@
         return Optional.of(
                 new SectionHeader(name, true, trimmed.substring(end + 1).trim()));
     }
+
+    /** What is wrong with the header's form. */
+    public Optional<Problem> problem() {
+        if (!closed) {
+            return Optional.of(NOT_CLOSED);
+        }
+        if (!rest.isEmpty() && !IniParser.comment(rest)) {
+            return Optional.of(TEXT_AFTER_HEADER);
+        }
+        return Optional.empty();
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeysPresent.java
@@ -0,0 +1,43 @@
+package org.sardinepost.core.ini.rules;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.sardinepost.core.ini.FileFormat;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.IniDocument;
+import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.Key;
+import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.ini.SectionFormat;
+
+/**
+ * Every required key of a section is set.
+ *
+ * <p>These keys have no default, because no value suits every site.
+ */
+public final class KeysPresent implements Rule {
+    private final FileFormat format;
+
+    public KeysPresent(FileFormat format) {
+        this.format = format;
+    }
+
+    @Override
+    public List<Finding> check(IniDocument document) {
+        return document.sections().stream()
+                .flatMap(section -> format.formatOf(section).stream()
+                        .flatMap(sectionFormat -> missing(document, section, sectionFormat)))
+                .toList();
+    }
+
+    private static Stream<Finding> missing(IniDocument document, IniSection section, SectionFormat format) {
+        return format.keys().stream()
+                .filter(Key::required)
+                .filter(key -> section.entry(key.name()).isEmpty())
+                .map(key -> document.finding(section, key, "the key is missing", remedy(key)));
+    }
+
+    private static String remedy(Key<?> key) {
+        return "add " + key.name() + " = " + key.type().allowed();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/SectionNames.java
@@ -0,0 +1,41 @@
+package org.sardinepost.core.ini.rules;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.sardinepost.core.ini.FileFormat;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.IniDocument;
+import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.ini.SectionFormat;
+
+/**
+ * Every section is known.
+ *
+ * <p>The keys of a misspelt section would have no effect.
+ */
+public final class SectionNames implements Rule {
+    private final FileFormat format;
+
+    public SectionNames(FileFormat format) {
+        this.format = format;
+    }
+
+    @Override
+    public List<Finding> check(IniDocument document) {
+        return document.sections().stream()
+                .filter(section -> format.formatOf(section).isEmpty())
+                .map(section -> document.finding(section, message(section), remedy()))
+                .toList();
+    }
+
+    private static String message(IniSection section) {
+        return section.name().isEmpty() ? "there are entries without a section" : "the section is unknown";
+    }
+
+    private String remedy() {
+        return format.sections().stream()
+                .map(SectionFormat::form)
+                .collect(Collectors.joining(", ", "remove it or use one of ", ""));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/ini/values/Address.java
@@ -0,0 +1,64 @@
+package org.sardinepost.core.ini.values;
+
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.sardinepost.core.ini.Parsed;
+import org.sardinepost.core.ini.ValueType;
+import org.sardinepost.core.routing.UpstreamId;
+
+/**
+ * An address is the IP address of one VM with a port.
+ *
+ * <p>The processes find each other by IP address only; a host name would need a lookup that can fail or change. One VM has
+ * one spelling, so that an IPv6 address that is written in two ways is recognised.
+ */
+public record Address() implements ValueType<UpstreamId> {
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+    private static final Pattern IPV4 = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
+    private static final Pattern IPV6 = Pattern.compile("\\[([0-9A-Fa-f:]*:[0-9A-Fa-f:.]*)\\]");
+    private static final Pattern FORM = Pattern.compile("(.+):([1-9][0-9]{0,4})");
+
+    @Override
+    public Parsed<UpstreamId> parse(String text) {
+        return read(text).map(Parsed::good).orElseGet(() -> refuse(text));
+    }
+
+    @Override
+    public String allowed() {
+        return "IP:PORT, such as 10.0.0.5:8080 or [2001:db8::5]:8080";
+    }
+
+    private static Optional<UpstreamId> read(String text) {
+        Matcher form = FORM.matcher(text);
+        if (!form.matches()) {
+            return Optional.empty();
+        }
+        return host(form.group(1)).flatMap(host -> UpstreamId.parse(host + ":" + form.group(2)));
+    }
+
+    private static Optional<String> host(String text) {
+        if (IPV4.matcher(text).matches()) {
+            // The wildcard address names no VM that others could connect to.
+            return text.equals("0.0.0.0") ? Optional.empty() : Optional.of(text);
+        }
+        Matcher matcher = IPV6.matcher(text);
+        return matcher.matches() ? canonicalIpv6(matcher.group(1)) : Optional.empty();
+    }
+
+    /** The pattern admits only literals, hence no name is looked up. */
+    private static Optional<String> canonicalIpv6(String literal) {
+        try {
+            InetAddress address = InetAddress.getByName("[" + literal + "]");
+            if (address.isAnyLocalAddress()) {
+                return Optional.empty();
+            }
+            String host = address.getHostAddress();
+            return Optional.of(host.contains(":") ? "[" + host + "]" : host);
+        } catch (UnknownHostException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/VmKeys.java
@@ -0,0 +1,23 @@
+package org.sardinepost.core.membership;
+
+import java.util.List;
+import org.sardinepost.core.ini.Key;
+import org.sardinepost.core.ini.SectionFormat;
+import org.sardinepost.core.ini.values.Choice;
+import org.sardinepost.core.ini.values.Name;
+
+/** The sections of VMs. */
+public final class VmKeys {
+    public static final Key<VmRole> ROLE = Key.required("role", Choice.of(VmRole.class));
+
+    public static final Key<String> SERVICE = Key.optional("service", new Name());
+
+    public static final Key<String> FAILURE_DOMAIN = Key.required("failure-domain", new Name());
+
+    public static final Key<VmState> STATE = Key.required("state", Choice.of(VmState.class));
+
+    public static final SectionFormat SECTION =
+            new SectionFormat("vm", true, false, List.of(ROLE, SERVICE, FAILURE_DOMAIN, STATE));
+
+    private VmKeys() {}
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/VmList.java
@@ -0,0 +1,52 @@
+package org.sardinepost.core.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.sardinepost.core.routing.Upstream;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** The platform's list of VMs, which lags. */
+public record VmList(List<Vm> vms) {
+    public VmList {
+        vms = List.copyOf(vms);
+    }
+
+    public Optional<Vm> vm(UpstreamId address) {
+        return vms.stream().filter(vm -> vm.address().equals(address)).findFirst();
+    }
+
+    public List<Upstream> liveUpstreams(String service) {
+        return upstreams(service, VmState.LIVE);
+    }
+
+    public List<Upstream> leavingUpstreams(String service) {
+        return upstreams(service, VmState.LEAVING);
+    }
+
+    /** Peer addresses of the daemons that stay. */
+    public List<UpstreamId> liveDaemons() {
+        return daemons(VmState.LIVE);
+    }
+
+    /** Peer addresses of the daemons that are stopping. */
+    public List<UpstreamId> leavingDaemons() {
+        return daemons(VmState.LEAVING);
+    }
+
+    private List<Upstream> upstreams(String service, VmState state) {
+        return vms.stream()
+                .filter(vm -> vm.role() == VmRole.UPSTREAM)
+                .filter(vm -> vm.state() == state)
+                .filter(vm -> vm.service().equals(service))
+                .map(vm -> new Upstream(vm.address(), vm.failureDomain()))
+                .toList();
+    }
+
+    private List<UpstreamId> daemons(VmState state) {
+        return vms.stream()
+                .filter(vm -> vm.role() == VmRole.DAEMON)
+                .filter(vm -> vm.state() == state)
+                .map(Vm::address)
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/VmListFormat.java
@@ -0,0 +1,18 @@
+package org.sardinepost.core.membership;
+
+import java.util.List;
+import org.sardinepost.core.ini.FileFormat;
+import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.ini.rules.CommonRules;
+import org.sardinepost.core.membership.rules.ServiceMatchesRole;
+import org.sardinepost.core.membership.rules.VmAddresses;
+
+/** The sections of a VM list and its rules. */
+public final class VmListFormat {
+    public static final FileFormat FORMAT = new FileFormat(List.of(VmKeys.SECTION));
+
+    public static final List<Rule> RULES =
+            CommonRules.with(FORMAT, List.of(new VmAddresses(), new ServiceMatchesRole()));
+
+    private VmListFormat() {}
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/VmListReader.java
@@ -0,0 +1,35 @@
+package org.sardinepost.core.membership;
+
+import org.sardinepost.core.ini.Checked;
+import org.sardinepost.core.ini.CheckedFile;
+import org.sardinepost.core.ini.IniDocument;
+import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.values.Address;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** Reads a VM list: either the whole list is good, or every fault of it is reported. */
+public final class VmListReader {
+    private static final Address ADDRESS = new Address();
+
+    private VmListReader() {}
+
+    public static Checked<VmList> read(String file, String content) {
+        return CheckedFile.read(file, content, VmListFormat.RULES, VmListReader::list);
+    }
+
+    private static VmList list(IniDocument document) {
+        return new VmList(
+                document.sections(VmKeys.SECTION).stream().map(VmListReader::vm).toList());
+    }
+
+    private static Vm vm(IniSection section) {
+        UpstreamId address =
+                ADDRESS.parse(VmKeys.SECTION.nameOf(section)).value().orElseThrow();
+        return new Vm(
+                address,
+                VmKeys.ROLE.read(section),
+                VmKeys.SERVICE.find(section).orElse(""),
+                VmKeys.FAILURE_DOMAIN.read(section),
+                VmKeys.STATE.read(section));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/VmRole.java
@@ -0,0 +1,7 @@
+package org.sardinepost.core.membership;
+
+/** What runs on a VM. */
+public enum VmRole {
+    UPSTREAM,
+    DAEMON
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/rules/ServiceMatchesRole.java
@@ -0,0 +1,39 @@
+package org.sardinepost.core.membership.rules;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.IniDocument;
+import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.membership.VmKeys;
+import org.sardinepost.core.membership.VmRole;
+
+/**
+ * An upstream has a service, and a daemon has none.
+ *
+ * <p>An upstream without a service would get no calls, and a daemon with one could be taken for an upstream.
+ */
+public final class ServiceMatchesRole implements Rule {
+    @Override
+    public List<Finding> check(IniDocument document) {
+        return document.sections(VmKeys.SECTION).stream()
+                .flatMap(section -> problem(document, section))
+                .toList();
+    }
+
+    private static Stream<Finding> problem(IniDocument document, IniSection section) {
+        boolean hasService = section.entry(VmKeys.SERVICE.name()).isPresent();
+        Optional<VmRole> role = VmKeys.ROLE.find(section);
+        if (role.isEmpty() || (role.get() == VmRole.UPSTREAM) == hasService) {
+            return Stream.empty();
+        }
+        return Stream.of(
+                hasService
+                        ? document.finding(
+                                section, VmKeys.SERVICE, "a daemon has a service", "remove it or correct the role")
+                        : document.finding(
+                                section, VmKeys.SERVICE, "the upstream has no service", "add service = NAME"));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/rules/VmAddresses.java
@@ -0,0 +1,42 @@
+package org.sardinepost.core.membership.rules;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.IniDocument;
+import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.Parsed;
+import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.ini.values.Address;
+import org.sardinepost.core.membership.VmKeys;
+import org.sardinepost.core.routing.UpstreamId;
+
+/**
+ * Every VM has a valid address of its own.
+ *
+ * <p>The address may be written in two ways, which are two sections but one VM.
+ */
+public final class VmAddresses implements Rule {
+    private static final Address ADDRESS = new Address();
+
+    @Override
+    public List<Finding> check(IniDocument document) {
+        Map<UpstreamId, IniSection> first = new HashMap<>();
+        List<Finding> findings = new ArrayList<>();
+        for (IniSection section : document.sections(VmKeys.SECTION)) {
+            Parsed<UpstreamId> address = ADDRESS.parse(VmKeys.SECTION.nameOf(section));
+            address.problems().stream()
+                    .map(problem -> document.finding(section, problem.message(), problem.remedy()))
+                    .forEach(findings::add);
+            address.value()
+                    .flatMap(id -> Optional.ofNullable(first.putIfAbsent(id, section)))
+                    .filter(earlier -> !earlier.name().equals(section.name()))
+                    .ifPresent(earlier -> findings.add(document.finding(
+                            section, "the address is also that of " + earlier.label(), "remove one of the sections")));
+        }
+        return findings;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/membership/rules/package-info.java
@@ -0,0 +1,2 @@
+/** Rules for the VM list. */
+package org.sardinepost.core.membership.rules;
--- a/core/src/main/java/org/sardinepost/core/settings/DaemonSettingsReader.java
+++ b/core/src/main/java/org/sardinepost/core/settings/DaemonSettingsReader.java
@@ -1,13 +1,11 @@
 package org.sardinepost.core.settings;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.sardinepost.core.ini.Checked;
-import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.CheckedFile;
 import org.sardinepost.core.ini.IniDocument;
-import org.sardinepost.core.ini.IniParser;
 import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.SectionFormat;
 import org.sardinepost.core.routing.UpstreamId;
 
 /** Reads the settings of a daemon: either all are good, or every fault is reported. */
@@ -15,35 +13,41 @@
     private DaemonSettingsReader() {}
 
     public static Checked<DaemonSettings> read(String file, String content) {
-        List<Finding> faults = new ArrayList<>();
-        IniDocument document = IniParser.parse(file, content, faults);
-        IniSection daemon = document.section("daemon").orElse(new IniSection("daemon", 1, List.of()));
-        DaemonSettings.Builder builder = DaemonSettings.builder()
-                .failureDomain(daemon.value("failure-domain").orElse(""))
-                .region(daemon.value("region").orElse(""));
-        address(daemon, "caller-address", file, faults).ifPresent(builder::callerAddress);
-        address(daemon, "admin-address", file, faults).ifPresent(builder::adminAddress);
-        address(daemon, "peer-address", file, faults).ifPresent(builder::peerAddress);
-        document.section("configuration")
-                .flatMap(section -> section.value("file"))
-                .map(Source::file)
-                .ifPresentOrElse(
-                        builder::configuration,
-                        () -> faults.add(new Finding(
-                                file, 1, "[configuration] file", "the key is missing", "name the services text")));
-        return faults.isEmpty() ? Checked.good(builder.build()) : Checked.faulty(faults);
+        return CheckedFile.read(file, content, DaemonSettingsFormat.RULES, DaemonSettingsReader::settings);
     }
 
-    private static Optional<UpstreamId> address(IniSection section, String key, String file, List<Finding> faults) {
-        Optional<UpstreamId> address = section.value(key).flatMap(UpstreamId::parse);
-        if (address.isEmpty()) {
-            faults.add(new Finding(
-                    file,
-                    section.line(),
-                    "[daemon] " + key,
-                    "no valid address",
-                    "write IP:PORT, for example 10.0.0.5:8080"));
-        }
-        return address;
+    private static DaemonSettings settings(IniDocument document) {
+        IniSection daemon = section(document, DaemonKeys.SECTION);
+        IniSection configuration = section(document, SourceKeys.CONFIGURATION);
+        IniSection vms = section(document, SourceKeys.VMS);
+        IniSection limits = section(document, LimitKeys.SECTION);
+        UpstreamId peerAddress = DaemonKeys.PEER_ADDRESS.read(daemon);
+        return DaemonSettings.builder()
+                .callerAddress(DaemonKeys.CALLER_ADDRESS.read(daemon))
+                .adminAddress(DaemonKeys.ADMIN_ADDRESS.read(daemon))
+                .peerAddress(peerAddress)
+                .failureDomain(DaemonKeys.FAILURE_DOMAIN.read(daemon))
+                .region(DaemonKeys.REGION.read(daemon))
+                .drainWait(DaemonKeys.DRAIN_WAIT.read(daemon))
+                .configuration(SourceKeys.source(configuration, SourceKeys.CONFIGURATION_SOURCE))
+                .vms(SourceKeys.source(vms, SourceKeys.VMS_SOURCE))
+                .peers(peersWithout(peerAddress, section(document, PeersKeys.SECTION)))
+                .heldBytes(LimitKeys.HELD_BYTES.read(limits))
+                .requestLimitBytes(LimitKeys.REQUEST_LIMIT.read(limits))
+                .headerLimitBytes(Math.toIntExact(LimitKeys.HEADER_LIMIT.read(limits)))
+                .tokenEntries(Math.toIntExact(LimitKeys.TOKEN_ENTRIES.read(limits)))
+                .build();
+    }
+
+    /** Operators give all daemons the same list, so it may contain the daemon itself. */
+    private static List<UpstreamId> peersWithout(UpstreamId self, IniSection peers) {
+        return PeersKeys.ADDRESSES.read(peers).stream()
+                .filter(address -> !address.equals(self))
+                .toList();
+    }
+
+    /** The section; an empty one, so that the defaults hold, if it is not in the file. */
+    private static IniSection section(IniDocument document, SectionFormat format) {
+        return document.section(format.header()).orElse(new IniSection(format.header(), 1, List.of()));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/settings/LimitKeys.java
@@ -0,0 +1,25 @@
+package org.sardinepost.core.settings;
+
+import java.util.List;
+import org.sardinepost.core.ini.Key;
+import org.sardinepost.core.ini.SectionFormat;
+import org.sardinepost.core.ini.values.SizeValue;
+import org.sardinepost.core.ini.values.WholeNumber;
+
+/** The section with the limits of memory. */
+public final class LimitKeys {
+    public static final Key<Long> HELD_BYTES = Key.optional("held-bytes", new SizeValue("1KiB", "65536MiB"), "64MiB");
+
+    public static final Key<Long> REQUEST_LIMIT =
+            Key.optional("request-limit", new SizeValue("1KiB", "1024MiB"), "4MiB");
+
+    public static final Key<Long> HEADER_LIMIT = Key.optional("header-limit", new SizeValue("1KiB", "1MiB"), "16KiB");
+
+    public static final Key<Long> TOKEN_ENTRIES =
+            Key.optional("token-entries", new WholeNumber(1, 10_000_000), "20000");
+
+    public static final SectionFormat SECTION =
+            new SectionFormat("limits", false, false, List.of(HELD_BYTES, REQUEST_LIMIT, HEADER_LIMIT, TOKEN_ENTRIES));
+
+    private LimitKeys() {}
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/settings/SourceKeys.java
@@ -0,0 +1,38 @@
+package org.sardinepost.core.settings;
+
+import java.util.List;
+import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.Key;
+import org.sardinepost.core.ini.SectionFormat;
+import org.sardinepost.core.ini.values.Choice;
+import org.sardinepost.core.ini.values.FilePath;
+import org.sardinepost.core.ini.values.HttpUrl;
+
+/** The sections that tell where the services text and the VM list come from. */
+public final class SourceKeys {
+    /** A daemon cannot work without a services text, hence there is no source {@code none} for it. */
+    public static final Key<Source.Kind> CONFIGURATION_SOURCE =
+            Key.required("source", new Choice<>(List.of(Source.Kind.FILE, Source.Kind.SERVICE)));
+
+    public static final Key<Source.Kind> VMS_SOURCE = Key.optional("source", Choice.of(Source.Kind.class), "none");
+
+    public static final Key<String> FILE = Key.optional("file", new FilePath());
+
+    public static final Key<String> URL = Key.optional("url", new HttpUrl());
+
+    public static final SectionFormat CONFIGURATION =
+            new SectionFormat("configuration", false, true, List.of(CONFIGURATION_SOURCE, FILE, URL));
+
+    public static final SectionFormat VMS = new SectionFormat("vms", false, false, List.of(VMS_SOURCE, FILE, URL));
+
+    private SourceKeys() {}
+
+    /** The source in a section that every rule has passed. */
+    static Source source(IniSection section, Key<Source.Kind> kind) {
+        return switch (kind.read(section)) {
+            case NONE -> Source.none();
+            case FILE -> Source.file(FILE.read(section));
+            case SERVICE -> Source.service(URL.read(section));
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/settings/rules/package-info.java
@@ -0,0 +1,2 @@
+/** Rules for the settings of a daemon. */
+package org.sardinepost.core.settings.rules;
--- a/core/src/main/java/org/sardinepost/core/text/ServicesText.java
+++ b/core/src/main/java/org/sardinepost/core/text/ServicesText.java
@@ -1,29 +1,72 @@
 package org.sardinepost.core.text;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
-/**
- * A checked services text.
- *
- * @param version the number that the operator raises with each submission
- * @param daemonCeiling the most daemons that may run at once, live and leaving
- * @param services the services in the order of the text
- */
-public record ServicesText(long version, int daemonCeiling, List<Service> services) {
-    public ServicesText {
-        services = List.copyOf(services);
+/** A checked services text. Services are found by an index, because every call looks its service up. */
+public final class ServicesText {
+    private final long version;
+    private final int daemonCeiling;
+    private final List<Service> services;
+    private final Map<String, Service> byName = new HashMap<>();
+    private final Map<String, Service> byHost = new HashMap<>();
+
+    public ServicesText(long version, int daemonCeiling, List<Service> services) {
+        this.version = version;
+        this.daemonCeiling = daemonCeiling;
+        this.services = List.copyOf(services);
+        this.services.forEach(this::index);
+    }
+
+    /** The number that the operator raises with each submission. */
+    public long version() {
+        return version;
+    }
+
+    /** The most daemons that may run at once, live and leaving. */
+    public int daemonCeiling() {
+        return daemonCeiling;
+    }
+
+    /** The services in the order of the text. */
+    public List<Service> services() {
+        return services;
     }
 
     public Optional<Service> service(String name) {
-        return services.stream().filter(service -> service.name().equals(name)).findFirst();
+        return Optional.ofNullable(byName.get(name));
     }
 
-    /** The service that a Host header without port means. */
+    /** The service that a Host header without port means; the case of the host does not matter. */
     public Optional<Service> serviceForHost(String host) {
-        return services.stream()
-                .filter(service ->
-                        service.name().equals(host) || service.hosts().contains(host))
-                .findFirst();
+        Service service = byHost.get(host);
+        return Optional.ofNullable(service != null ? service : byHost.get(lowerCase(host)));
+    }
+
+    private void index(Service service) {
+        byName.putIfAbsent(service.name(), service);
+        byHost.putIfAbsent(lowerCase(service.name()), service);
+        service.hosts().forEach(host -> byHost.putIfAbsent(lowerCase(host), service));
+    }
+
+    private static String lowerCase(String host) {
+        return host.toLowerCase(Locale.ROOT);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServicesText text
+                && version == text.version
+                && daemonCeiling == text.daemonCeiling
+                && services.equals(text.services);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(version, daemonCeiling, services);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/text/ServicesTextFormat.java
@@ -0,0 +1,27 @@
+package org.sardinepost.core.text;
+
+import java.util.List;
+import org.sardinepost.core.ini.FileFormat;
+import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.ini.rules.CommonRules;
+import org.sardinepost.core.text.rules.DependenciesAcyclic;
+import org.sardinepost.core.text.rules.DependenciesExist;
+import org.sardinepost.core.text.rules.HostsUnique;
+import org.sardinepost.core.text.rules.ServiceNames;
+import org.sardinepost.core.text.rules.UpstreamsUnique;
+
+/** The sections of a services text and its rules. */
+public final class ServicesTextFormat {
+    public static final FileFormat FORMAT = new FileFormat(List.of(TextKeys.SECTION, ServiceKeys.SECTION));
+
+    public static final List<Rule> RULES = CommonRules.with(
+            FORMAT,
+            List.of(
+                    new ServiceNames(),
+                    new HostsUnique(),
+                    new DependenciesExist(),
+                    new DependenciesAcyclic(),
+                    new UpstreamsUnique()));
+
+    private ServicesTextFormat() {}
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/text/rules/DependenciesExist.java
@@ -0,0 +1,37 @@
+package org.sardinepost.core.text.rules;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.IniDocument;
+import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.text.ServiceKeys;
+
+/**
+ * Every service in depends-on has a section.
+ *
+ * <p>Calls to a service that is not in the text are refused, so the caller would fail in operation.
+ */
+public final class DependenciesExist implements Rule {
+    @Override
+    public List<Finding> check(IniDocument document) {
+        List<IniSection> sections = document.sections(ServiceKeys.SECTION);
+        Set<String> names = sections.stream().map(ServiceKeys.SECTION::nameOf).collect(Collectors.toSet());
+        return sections.stream()
+                .flatMap(section -> missing(document, section, names))
+                .toList();
+    }
+
+    private static Stream<Finding> missing(IniDocument document, IniSection section, Set<String> names) {
+        return ServiceKeys.DEPENDS_ON.find(section).orElse(List.of()).stream()
+                .filter(dependency -> !names.contains(dependency))
+                .map(dependency -> document.finding(
+                        section,
+                        ServiceKeys.DEPENDS_ON,
+                        "service " + dependency + " does not exist",
+                        "correct the name or add [service " + dependency + "]"));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/text/rules/package-info.java
@@ -0,0 +1,2 @@
+/** Rules for the services text. */
+package org.sardinepost.core.text.rules;
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/ini/RuleRun.java
@@ -0,0 +1,22 @@
+package org.sardinepost.core.ini;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.truth.IterableSubject;
+import java.util.List;
+
+/** Applies one rule to a text and asserts where it fires. */
+public final class RuleRun {
+    private RuleRun() {}
+
+    /** Asserts on the findings as {@code line key}; every finding must name a remedy. */
+    public static IterableSubject assertFindings(Rule rule, String... lines) {
+        List<Finding> findings = rule.check(IniParser.parse("f.ini", String.join("\n", lines)));
+        findings.forEach(
+                finding -> assertWithMessage("remedy").that(finding.remedy()).isNotEmpty());
+        return assertWithMessage(findings.toString())
+                .that(findings.stream()
+                        .map(finding -> finding.line() + " " + finding.key())
+                        .toList());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/membership/VmListReaderTest.java
@@ -0,0 +1,40 @@
+package org.sardinepost.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.routing.Upstream;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** Guards against calls to a leaving VM and against live VMs that get no calls. */
+class VmListReaderTest {
+    private static String vm(int port, String role, String state) {
+        return "[vm 10.0.0.1:" + port + "]\nfailure-domain = brno-1\nstate = " + state + "\nrole = " + role + "\n";
+    }
+
+    @Test
+    void findsUpstreamsAndDaemonsByState() {
+        VmList list = VmListReader.read(
+                        "v.ini",
+                        vm(1, "upstream", "live") + "service = a\n"
+                                + vm(2, "upstream", "leaving") + "service = a\n"
+                                + vm(3, "upstream", "live") + "service = b\n"
+                                + vm(4, "daemon", "live")
+                                + vm(5, "daemon", "leaving"))
+                .value()
+                .orElseThrow();
+        assertThat(list.liveUpstreams("a")).containsExactly(new Upstream(new UpstreamId("10.0.0.1", 1), "brno-1"));
+        assertThat(list.leavingUpstreams("a")).containsExactly(new Upstream(new UpstreamId("10.0.0.1", 2), "brno-1"));
+        assertThat(list.leavingUpstreams("b")).isEmpty();
+        assertThat(list.liveDaemons()).containsExactly(new UpstreamId("10.0.0.1", 4));
+        assertThat(list.leavingDaemons()).containsExactly(new UpstreamId("10.0.0.1", 5));
+        assertThat(list.vm(new UpstreamId("10.0.0.1", 3)).orElseThrow().service())
+                .isEqualTo("b");
+    }
+
+    @Test
+    void reportsEveryFault() {
+        String text = "[vm 10.0.0.1]\nrole = server\nstate = gone\n";
+        assertThat(VmListReader.read("v.ini", text).findings()).hasSize(4);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/membership/rules/VmRulesTest.java
@@ -0,0 +1,51 @@
+package org.sardinepost.core.membership.rules;
+
+import static org.sardinepost.core.ini.RuleRun.assertFindings;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against VM lists that make a daemon send calls to a VM that serves none. */
+class VmRulesTest {
+    @Nested
+    class VmAddressesRule {
+        @Test
+        void firesOnInvalidAndRepeatedAddresses() {
+            assertFindings(new VmAddresses(), "[vm]", "[vm host:80]", "[vm [::1]:80]", "[vm 10.0.0.1]")
+                    .containsAtLeast("1 [vm]", "2 [vm host:80]", "4 [vm 10.0.0.1]");
+        }
+
+        @Test
+        void acceptsAddresses() {
+            assertFindings(new VmAddresses(), "[vm 10.0.0.1:80]", "[vm 10.0.0.1:81]")
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    class ServiceMatchesRoleRule {
+        @Test
+        void firesOnAnUpstreamWithoutAndADaemonWithService() {
+            assertFindings(
+                            new ServiceMatchesRole(),
+                            "[vm 10.0.0.1:80]",
+                            "role = upstream",
+                            "[vm 10.0.0.2:80]",
+                            "role = daemon",
+                            "service = a")
+                    .containsExactly("1 [vm 10.0.0.1:80] service", "5 [vm 10.0.0.2:80] service");
+        }
+
+        @Test
+        void acceptsMatchingRoles() {
+            assertFindings(
+                            new ServiceMatchesRole(),
+                            "[vm 10.0.0.1:80]",
+                            "role = upstream",
+                            "service = a",
+                            "[vm 10.0.0.2:80]",
+                            "role = daemon")
+                    .isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/settings/DaemonSettingsReaderTest.java
@@ -0,0 +1,99 @@
+package org.sardinepost.core.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.ini.Checked;
+import org.sardinepost.core.ini.Pages;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** Guards against a daemon that runs with other settings than the operator wrote. */
+class DaemonSettingsReaderTest {
+    private static final String MINIMAL =
+            """
+            [daemon]
+            caller-address = 10.0.0.1:80
+            admin-address = 10.0.0.1:81
+            peer-address = 10.0.0.1:82
+            failure-domain = brno-1
+            region = brno
+            [configuration]
+            """;
+
+    private static DaemonSettings good(String text) {
+        Checked<DaemonSettings> checked = DaemonSettingsReader.read("d.ini", text);
+        assertThat(checked.findings()).isEmpty();
+        return checked.value().orElseThrow();
+    }
+
+    @Test
+    void readsTheSampleOfTheDesign() {
+        DaemonSettings settings = good(Pages.block("design.md", "[daemon]"));
+        assertThat(settings.callerAddress()).isEqualTo(new UpstreamId("127.0.0.1", 8080));
+        assertThat(settings.adminAddress()).isEqualTo(new UpstreamId("127.0.0.1", 8081));
+        assertThat(settings.peerAddress()).isEqualTo(new UpstreamId("127.0.0.1", 8082));
+        assertThat(settings.failureDomain()).isEqualTo("brno-1");
+        assertThat(settings.region()).isEqualTo("brno");
+        assertThat(settings.configuration()).isEqualTo(Source.file("services.ini"));
+        assertThat(settings.vms()).isEqualTo(Source.none());
+        assertThat(settings.peers())
+                .containsExactly(new UpstreamId("127.0.0.1", 8092), new UpstreamId("127.0.0.1", 8102));
+    }
+
+    @Test
+    void readsTheOtherSources() {
+        DaemonSettings settings =
+                good(MINIMAL + "source = service\nurl = http://10.0.0.9/c\n[vms]\nsource = file\nfile = vms.ini\n");
+        assertThat(settings.configuration()).isEqualTo(Source.service("http://10.0.0.9/c"));
+        assertThat(settings.vms()).isEqualTo(Source.file("vms.ini"));
+    }
+
+    @Test
+    void readsEveryLimit() {
+        DaemonSettings settings = good(MINIMAL + "source = file\nfile = s.ini\n[limits]\nheld-bytes = 8MiB\n"
+                + "request-limit = 2MiB\nheader-limit = 8KiB\ntoken-entries = 30\n");
+        assertThat(settings.heldBytes()).isEqualTo(8L << 20);
+        assertThat(settings.requestLimitBytes()).isEqualTo(2L << 20);
+        assertThat(settings.headerLimitBytes()).isEqualTo(8 << 10);
+        assertThat(settings.tokenEntries()).isEqualTo(30);
+    }
+
+    /** The builder's defaults are used in tests of other modules; they must be those of the reader. */
+    @Test
+    void defaultsAreThoseOfTheBuilder() {
+        DaemonSettings read = good(MINIMAL + "source = file\nfile = s.ini\n");
+        DaemonSettings built = DaemonSettings.builder()
+                .callerAddress(read.callerAddress())
+                .adminAddress(read.adminAddress())
+                .peerAddress(read.peerAddress())
+                .failureDomain("brno-1")
+                .region("brno")
+                .configuration(read.configuration())
+                .build();
+        assertThat(read.drainWait()).isEqualTo(Duration.ofSeconds(5));
+        assertThat(read.drainWait()).isEqualTo(built.drainWait());
+        assertThat(read.vms()).isEqualTo(built.vms());
+        assertThat(read.peers()).isEqualTo(built.peers());
+        assertThat(read.heldBytes()).isEqualTo(built.heldBytes());
+        assertThat(read.requestLimitBytes()).isEqualTo(built.requestLimitBytes());
+        assertThat(read.headerLimitBytes()).isEqualTo(built.headerLimitBytes());
+        assertThat(read.tokenEntries()).isEqualTo(built.tokenEntries());
+    }
+
+    /** A daemon that counted itself as a peer would wait for its own leaving marks after a pause. */
+    @Test
+    void leavesTheDaemonItselfOutOfItsPeers() {
+        DaemonSettings settings =
+                good(MINIMAL + "source = file\nfile = s.ini\n[peers]\naddresses = 10.0.0.1:82, 10.0.0.2:82\n");
+        assertThat(settings.peers()).containsExactly(new UpstreamId("10.0.0.2", 82));
+    }
+
+    @Test
+    void refusesConfigurationWithoutSource() {
+        assertThat(DaemonSettingsReader.read("d.ini", MINIMAL).findings()).hasSize(1);
+        assertThat(DaemonSettingsReader.read("d.ini", MINIMAL + "source = none\n")
+                        .findings())
+                .hasSize(1);
+    }
+}
--- a/core/src/test/java/org/sardinepost/core/text/SectionSplitterTest.java
+++ b/core/src/test/java/org/sardinepost/core/text/SectionSplitterTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -24,7 +23,7 @@
     /** The transfer and the reader must see the same sections, or a changed section would not be transferred. */
     @Property(seed = "4712", tries = 2000)
     void namesAreThoseOfTheParser(@ForAll("texts") String text) {
-        List<String> parsed = IniParser.parse("t.ini", text, new ArrayList<>()).sections().stream()
+        List<String> parsed = IniParser.parse("t.ini", text).sections().stream()
                 .map(IniSection::name)
                 .filter(name -> !name.isEmpty())
                 .toList();
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/text/ServicesTextReaderTest.java
@@ -0,0 +1,124 @@
+package org.sardinepost.core.text;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.ini.Checked;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.Pages;
+import org.sardinepost.core.routing.Upstream;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** Guards against a services text that has another effect than the operator wrote, or that is accepted in part. */
+class ServicesTextReaderTest {
+    private static ServicesText good(String text) {
+        Checked<ServicesText> checked = ServicesTextReader.read("s.ini", text);
+        assertThat(checked.findings()).isEmpty();
+        return checked.value().orElseThrow();
+    }
+
+    @Nested
+    class Reads {
+        private final ServicesText text =
+                good(Pages.block("design.md", "[text]") + "[service booking]\nprefer = measuring-cost\n");
+
+        private final Service service = text.service("order-status").orElseThrow();
+
+        @Test
+        void theSampleOfTheDesign() {
+            assertThat(text.version()).isEqualTo(12);
+            assertThat(text.daemonCeiling()).isEqualTo(19);
+            assertThat(service.external()).isTrue();
+            assertThat(service.hosts()).containsExactly("status.example");
+            assertThat(service.dependsOn()).containsExactly("booking");
+            assertThat(service.upstreams())
+                    .containsExactly(
+                            new Upstream(new UpstreamId("127.0.0.1", 7001), "brno-1"),
+                            new Upstream(new UpstreamId("127.0.0.1", 7002), "brno-2"));
+            assertThat(service.slots()).isEqualTo(3);
+            assertThat(service.idempotentMethods()).containsExactly("GET", "HEAD", "OPTIONS");
+            assertThat(service.idempotentPaths()).containsExactly("/search/*");
+            assertThat(service.tokens()).isEqualTo(TokenMode.REQUIRED);
+            assertThat(service.deadline()).isEqualTo(Duration.ofSeconds(2));
+            assertThat(service.retryBudgetShare()).isEqualTo(0.1);
+            assertThat(service.measuringBudgetPerSecond()).isEqualTo(20);
+            assertThat(service.preference()).isEqualTo(Preference.LATENCY);
+            assertThat(service.answerLimitBytes()).isEqualTo(4L << 20);
+            assertThat(text.service("booking").orElseThrow().preference()).isEqualTo(Preference.MEASURING_COST);
+        }
+
+        @Test
+        void servicesByNameAndHostInAnyCase() {
+            assertThat(text.serviceForHost("order-status")).hasValue(service);
+            assertThat(text.serviceForHost("Status.EXAMPLE")).hasValue(service);
+            assertThat(text.serviceForHost("status.example.org")).isEmpty();
+            assertThat(text.service("status.example")).isEmpty();
+        }
+    }
+
+    /** The builder's defaults are used in tests of other modules; they must be those of the reader. */
+    @Test
+    void defaultsAreThoseOfTheBuilder() {
+        Service read = good("[text]\nversion = 1\n[service a]\n").services().get(0);
+        Service built = Service.builder("a").build();
+        assertThat(read.external()).isEqualTo(built.external());
+        assertThat(read.hosts()).isEqualTo(built.hosts());
+        assertThat(read.dependsOn()).isEqualTo(built.dependsOn());
+        assertThat(read.upstreams()).isEqualTo(built.upstreams());
+        assertThat(read.slots()).isEqualTo(built.slots());
+        assertThat(read.idempotentMethods()).isEqualTo(built.idempotentMethods());
+        assertThat(read.idempotentPaths()).isEqualTo(built.idempotentPaths());
+        assertThat(read.tokens()).isEqualTo(built.tokens());
+        assertThat(read.deadline()).isEqualTo(built.deadline());
+        assertThat(read.retryBudgetShare()).isEqualTo(built.retryBudgetShare());
+        assertThat(read.measuringBudgetPerSecond()).isEqualTo(built.measuringBudgetPerSecond());
+        assertThat(read.preference()).isEqualTo(built.preference());
+        assertThat(read.answerLimitBytes()).isEqualTo(built.answerLimitBytes());
+    }
+
+    @Nested
+    class Refuses {
+        @Test
+        void everyFaultInOneRunInTheOrderOfTheLines() {
+            String text =
+                    "[text]\ndaemon-ceiling = 0\n[service a]\nslots = x\nslot = 1\ndepends-on = b\nx\n[servic b]\n";
+            List<Finding> findings = ServicesTextReader.read("s.ini", text).findings();
+            assertThat(findings.stream()
+                            .map(finding -> finding.line() + " " + finding.key())
+                            .toList())
+                    .containsExactly(
+                            "1 [text] version",
+                            "2 [text] daemon-ceiling",
+                            "4 [service a] slots",
+                            "5 [service a] slot",
+                            "6 [service a] depends-on",
+                            "7 \"x\"",
+                            "8 [servic b]")
+                    .inOrder();
+            assertThat(findings.get(1).toString())
+                    .isEqualTo("s.ini:2: [text] daemon-ceiling: \"0\" is not allowed here;"
+                            + " write a whole number from 1 to 10000");
+        }
+
+        @Test
+        void aTextOfAnotherKindWithABoundedReport() {
+            List<Finding> findings =
+                    ServicesTextReader.read("s.ini", "x\n".repeat(100_000)).findings();
+            assertThat(findings).hasSize(1_001);
+            assertThat(findings.get(1_000).message()).isEqualTo("99001 further faults are not listed");
+        }
+
+        /** The library's interpolation would copy the environment of the daemon into the text. */
+        @Test
+        void variables() {
+            List<Finding> findings = ServicesTextReader.read(
+                            "s.ini", "[text]\nversion = ${const:java.lang.Byte.SIZE}\n")
+                    .findings();
+            assertThat(findings).hasSize(1);
+            assertThat(findings.get(0).message()).contains("${const:java.lang.Byte.SIZE}");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/text/rules/ServiceRulesTest.java
@@ -0,0 +1,134 @@
+package org.sardinepost.core.text.rules;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.sardinepost.core.ini.RuleRun.assertFindings;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.ini.Finding;
+import org.sardinepost.core.ini.IniParser;
+
+/** Guards against services texts that are well formed but send calls to the wrong place or nowhere. */
+class ServiceRulesTest {
+    @Nested
+    class ServiceNamesRule {
+        @Test
+        void firesOnMissingAndInvalidNames() {
+            assertFindings(new ServiceNames(), "[service]", "[service Booking]", "[service a b]", "[service a;b]")
+                    .containsExactly("1 [service]", "2 [service Booking]", "3 [service a b]", "4 [service a;b]");
+        }
+
+        @Test
+        void acceptsNames() {
+            assertFindings(new ServiceNames(), "[service order-status]", "[service b2]")
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    class HostsUniqueRule {
+        @Test
+        void firesOnHostsOfTwoServicesAndOnNames() {
+            assertFindings(new HostsUnique(), "[service a]", "hosts = x, X", "[service b]", "hosts = x, a, b")
+                    .containsExactly(
+                            "2 [service a] hosts", "4 [service b] hosts", "4 [service b] hosts", "4 [service b] hosts");
+        }
+
+        @Test
+        void acceptsDifferentHosts() {
+            assertFindings(new HostsUnique(), "[service a]", "hosts = x, y", "[service b]", "hosts = a.x")
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    class DependenciesExistRule {
+        @Test
+        void firesOnMissingServices() {
+            assertFindings(new DependenciesExist(), "[service a]", "depends-on = b, c", "[service b]")
+                    .containsExactly("2 [service a] depends-on");
+        }
+
+        @Test
+        void acceptsServicesThatFollowLater() {
+            assertFindings(new DependenciesExist(), "[service a]", "depends-on = b", "[service b]")
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    class DependenciesAcyclicRule {
+        @Test
+        void firesOncePerCycle() {
+            assertFindings(
+                            new DependenciesAcyclic(),
+                            "[service a]",
+                            "depends-on = a",
+                            "[service b]",
+                            "depends-on = c, e",
+                            "[service c]",
+                            "depends-on = d",
+                            "[service d]",
+                            "depends-on = c",
+                            "[service e]")
+                    .containsExactly("2 [service a] depends-on", "6 [service c] depends-on");
+        }
+
+        @Test
+        void namesTheCycle() {
+            String text = "[service a]\ndepends-on = b\n[service b]\ndepends-on = c\n[service c]\ndepends-on = a\n";
+            List<Finding> findings = new DependenciesAcyclic().check(IniParser.parse("f.ini", text));
+            assertThat(findings.get(0).message()).endsWith("cycle a -> b -> c -> a");
+        }
+
+        @Test
+        void acceptsServicesThatAreReachedInTwoWays() {
+            assertFindings(
+                            new DependenciesAcyclic(),
+                            "[service a]",
+                            "depends-on = b, c",
+                            "[service b]",
+                            "depends-on = d",
+                            "[service c]",
+                            "depends-on = d, missing",
+                            "[service d]")
+                    .isEmpty();
+        }
+
+        /** A recursive search overflows the stack here. */
+        @Test
+        void readsLongChainsAndCycles() {
+            int services = 20_000;
+            String text = IntStream.range(0, services)
+                    .mapToObj(number -> "[service s" + number + "]\ndepends-on = s" + (number + 1) % services)
+                    .collect(Collectors.joining("\n"));
+            assertThat(new DependenciesAcyclic().check(IniParser.parse("f.ini", text)))
+                    .hasSize(1);
+        }
+    }
+
+    @Nested
+    class UpstreamsUniqueRule {
+        @Test
+        void firesOnASecondListing() {
+            assertFindings(
+                            new UpstreamsUnique(),
+                            "[service a]",
+                            "upstreams = 10.0.0.1:80@x, 10.0.0.1:80@y",
+                            "[service b]",
+                            "upstreams = [::1]:80, 10.0.0.1:80",
+                            "[service c]",
+                            "upstreams = [0::1]:80")
+                    .containsExactly("2 [service a] upstreams", "4 [service b] upstreams", "6 [service c] upstreams");
+        }
+
+        @Test
+        void acceptsTwoPortsOfOneVm() {
+            assertFindings(new UpstreamsUnique(), "[service a]", "upstreams = 10.0.0.1:80, 10.0.0.1:81")
+                    .isEmpty();
+        }
+    }
+}
