--- /dev/null
+++ b/peer/src/main/java/org/sardinepost/peer/MessageKind.java
@@ -0,0 +1,39 @@
+package org.sardinepost.peer;
+
+import java.util.Locale;
+import org.sardinepost.peer.generated.PeerMessage;
+
+/** The kinds of peer messages, for counting. */
+public enum MessageKind {
+    HELLO,
+    LOAD_BATCH,
+    CONFIGURATION_OFFER,
+    CONFIGURATION_REQUEST,
+    CONFIGURATION_PARTS,
+    HANDOVER_FRAME,
+    HANDOVER_ACK,
+    GOODBYE,
+    HEARTBEAT,
+    /** A message without body, or of a kind that a later version added. */
+    OTHER;
+
+    public static MessageKind of(PeerMessage message) {
+        return switch (message.getBodyCase()) {
+            case HELLO -> HELLO;
+            case LOAD_BATCH -> LOAD_BATCH;
+            case CONFIGURATION_OFFER -> CONFIGURATION_OFFER;
+            case CONFIGURATION_REQUEST -> CONFIGURATION_REQUEST;
+            case CONFIGURATION_PARTS -> CONFIGURATION_PARTS;
+            case HANDOVER_FRAME -> HANDOVER_FRAME;
+            case HANDOVER_ACK -> HANDOVER_ACK;
+            case GOODBYE -> GOODBYE;
+            case HEARTBEAT -> HEARTBEAT;
+            case BODY_NOT_SET -> OTHER;
+        };
+    }
+
+    /** The name in metrics: lower case with hyphens. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
