--- a/standins/src/main/java/org/sardinepost/standins/StandinsMain.java
+++ b/standins/src/main/java/org/sardinepost/standins/StandinsMain.java
@@ -2,6 +2,7 @@
 
 import org.sardinepost.standins.configuration.ConfigurationCommand;
 import org.sardinepost.standins.load.LoadCommand;
+import org.sardinepost.standins.load.OverheadCommand;
 import org.sardinepost.standins.upstream.UpstreamCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -14,7 +15,13 @@
         name = "standins",
         mixinStandardHelpOptions = true,
         description = "Stand-ins for upstreams, the configuration service and callers.",
-        subcommands = {UpstreamCommand.class, ConfigurationCommand.class, LoadCommand.class, WaitCommand.class})
+        subcommands = {
+            UpstreamCommand.class,
+            ConfigurationCommand.class,
+            LoadCommand.class,
+            OverheadCommand.class,
+            WaitCommand.class
+        })
 public final class StandinsMain implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -28,6 +35,7 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "name a stand-in: upstream, configuration, load or wait");
+        throw new ParameterException(
+                spec.commandLine(), "name a stand-in: upstream, configuration, load, overhead or wait");
     }
 }
--- a/standins/src/main/java/org/sardinepost/standins/load/LoadCommand.java
+++ b/standins/src/main/java/org/sardinepost/standins/load/LoadCommand.java
@@ -1,13 +1,10 @@
 package org.sardinepost.standins.load;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import org.eclipse.jetty.client.HttpClient;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.standins.AddressConverter;
@@ -17,11 +14,9 @@
 /** Sends idempotent and non-idempotent calls at a fixed rate, then checks the promises against the upstreams' records. */
 @Command(name = "load", mixinStandardHelpOptions = true, description = "Sends calls and checks the promises.")
 public final class LoadCommand implements Callable<Integer> {
-    private static final long WAIT_FOR_LAST_ANSWERS_SECONDS = 30;
     private static final int MAX_CONNECTIONS = 256;
     private static final int MAX_ANSWER_BYTES = 20_000;
     private static final double REPEATED_SHARE = 0.2;
-    private static final double NANOS_PER_SECOND = 1e9;
     private static final double MICROS_PER_MILLI = 1e3;
 
     @Option(
@@ -94,17 +89,7 @@
 
     private void sendAll(Caller caller, String phase, int length) throws Exception {
         SplittableRandom random = new SplittableRandom(seed);
-        List<CompletableFuture<Void>> calls = new ArrayList<>();
-        long start = System.nanoTime();
-        for (int i = 0; i < length * rate; i++) {
-            long due = start + (long) (i * NANOS_PER_SECOND / rate);
-            for (long left = due - System.nanoTime(); left > 0; left = due - System.nanoTime()) {
-                LockSupport.parkNanos(left);
-            }
-            calls.add(send(caller, random, phase + "-" + seed + "-" + i));
-        }
-        CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
-                .get(WAIT_FOR_LAST_ANSWERS_SECONDS, TimeUnit.SECONDS);
+        Pacer.run(length * rate, rate, i -> send(caller, random, phase + "-" + seed + "-" + i));
     }
 
     private CompletableFuture<Void> send(Caller caller, SplittableRandom random, String requestId) {
