Wire guard, gate, call context, deadlines, held bytes and retries into the caller path

A call is now checked (head, caller, depth, deadline), read whole into one account of held bytes, handed to the RequestGuard and sent by UpstreamDispatch, which repeats only idempotent requests or those known to be not run, within attempts and RetryBudget. Hop-by-hop and forgeable headers are stripped. Metrics, log events and parser refusals have their first form.

--- a/core/src/main/java/org/sardinepost/core/call/RefusalReason.java
+++ b/core/src/main/java/org/sardinepost/core/call/RefusalReason.java
@@ -25,6 +25,8 @@
     UPSTREAM_FAILED(502, Outcome.UNKNOWN, "check whether the request ran before repeating it"),
     ANSWER_INCOMPLETE(502, Outcome.UNKNOWN, "check whether the request ran before repeating it"),
     ANSWER_TOO_LARGE(502, Outcome.UNKNOWN, "raise answer-limit of the service in the services text"),
+    /** The answer came when requests and other answers already filled held-bytes. */
+    ANSWER_NOT_HELD(502, Outcome.UNKNOWN, "check whether the request ran; raise held-bytes in the settings"),
     DEADLINE_EXCEEDED(504, Outcome.UNKNOWN, "check whether the request ran before repeating it");
 
     private final int status;
--- a/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
@@ -12,18 +12,22 @@
 
 /** Collects one answer until its end. */
 final class AnswerCollector implements Response.Listener {
-    private static final int NO_LENGTH = -1;
+    private static final long NO_LENGTH = -1;
+    private static final long LARGEST_BODY_BYTES = Integer.MAX_VALUE - 8;
 
     private final Request exchange;
     private final long limitBytes;
+    private final HeldReservation reservation;
     private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
     private volatile boolean writing;
     private volatile boolean answerBegun;
     private BodyBuffer body = new BodyBuffer(0);
+    private long reservedBytes;
 
-    AnswerCollector(Request exchange, long limitBytes) {
+    AnswerCollector(Request exchange, long limitBytes, HeldReservation reservation) {
         this.exchange = exchange;
-        this.limitBytes = limitBytes;
+        this.limitBytes = Math.min(limitBytes, LARGEST_BODY_BYTES);
+        this.reservation = reservation;
         var unused = answer.whenComplete((held, failure) -> {
             if (answer.isCancelled()) {
                 abort(new CancellationException("the call was given up"));
@@ -53,28 +57,39 @@
     @Override
     public void onHeaders(Response response) {
         long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
-        if (!hasBody(response) || length <= 0) {
-            return;
+        if (hasBody(response) && length > 0 && reserveUpTo(length)) {
+            body = new BodyBuffer((int) length);
         }
-        if (length > limitBytes) {
-            tooLarge();
-            return;
-        }
-        body = new BodyBuffer((int) length);
     }
 
     @Override
     public void onContent(Response response, ByteBuffer content) {
-        if (body.size() + (long) content.remaining() > limitBytes) {
-            tooLarge();
-            return;
+        if (reserveUpTo(body.size() + (long) content.remaining())) {
+            body.append(content);
+        }
+    }
+
+    private boolean reserveUpTo(long size) {
+        if (answer.isDone()) {
+            return false;
+        }
+        if (size > limitBytes) {
+            giveUp(SendException.Kind.ANSWER_TOO_LARGE, "the answer exceeds " + limitBytes + " bytes");
+            return false;
+        }
+        long missing = size - reservedBytes;
+        if (missing > 0 && !reservation.tryAddForAnswer(missing)) {
+            giveUp(SendException.Kind.ANSWER_NOT_HELD, "no room to hold " + size + " bytes of an answer");
+            return false;
         }
-        body.append(content);
+        reservedBytes = Math.max(size, reservedBytes);
+        return true;
     }
 
-    private void tooLarge() {
-        fail(SendException.Kind.ANSWER_TOO_LARGE, "the answer exceeds " + limitBytes + " bytes", null);
-        abort(new IllegalStateException("the answer is too large"));
+    private void giveUp(SendException.Kind kind, String message) {
+        SendException failure = new SendException(kind, message, null);
+        answer.completeExceptionally(failure);
+        abort(failure);
     }
 
     /** Ends the exchange and closes its connection; the result arrives at onComplete. */
@@ -84,16 +99,26 @@
 
     @Override
     public void onComplete(Result result) {
+        if (!complete(result)) {
+            body = new BodyBuffer(0);
+            reservation.giveBack(reservedBytes);
+            reservedBytes = 0;
+        }
+    }
+
+    private boolean complete(Result result) {
         if (result.isFailed()) {
-            fail(failureKind(), "the exchange failed: " + result.getFailure(), result.getFailure());
-            return;
+            answer.completeExceptionally(
+                    new SendException(failureKind(), "the exchange failed: " + result.getFailure(), null));
+            return false;
         }
         Response response = result.getResponse();
         if (!endIsKnown(response)) {
-            fail(SendException.Kind.ANSWER_INCOMPLETE, "the answer has neither a length nor chunks", null);
-            return;
+            answer.completeExceptionally(new SendException(
+                    SendException.Kind.ANSWER_INCOMPLETE, "the answer has neither a length nor chunks", null));
+            return false;
         }
-        answer.complete(
+        return answer.complete(
                 new HeldAnswer(response.getStatus(), EndToEndHeaders.of(response.getHeaders()), body.toByteBuffer()));
     }
 
@@ -117,8 +142,4 @@
                 && status != HttpStatus.NO_CONTENT_204
                 && status != HttpStatus.NOT_MODIFIED_304;
     }
-
-    private void fail(SendException.Kind kind, String message, Throwable cause) {
-        answer.completeExceptionally(new SendException(kind, message, cause));
-    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallPath.java
@@ -0,0 +1,38 @@
+package org.sardinepost.daemon.call;
+
+import java.util.function.LongSupplier;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.daemon.metrics.CallMetrics;
+
+/**
+ * The parts that every call uses.
+ *
+ * @param registry the services in force
+ * @param client sends requests to upstreams
+ * @param guard decides whether and where a call is sent
+ * @param gate holds dispatches back while the daemon's state may be outdated
+ * @param heldBytes the account of held requests and answers
+ * @param callsInProgress counts calls for the planned stop
+ * @param metrics counters of calls, refusals and retries
+ * @param scheduler ends calls at their deadline
+ * @param nanoClock the monotonic clock
+ * @param ownAddress the caller address of this daemon, which forwarded requests carry
+ * @param requestLimitBytes the largest request body
+ */
+public record CallPath(
+        ServiceRegistry registry,
+        UpstreamClient client,
+        RequestGuard guard,
+        DispatchGate gate,
+        HeldBytes heldBytes,
+        CallsInProgress callsInProgress,
+        CallMetrics metrics,
+        Scheduler scheduler,
+        LongSupplier nanoClock,
+        UpstreamId ownAddress,
+        long requestLimitBytes) {
+    long now() {
+        return nanoClock.getAsLong();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -0,0 +1,161 @@
+package org.sardinepost.daemon.call;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.sardinepost.core.call.CallContext;
+import org.sardinepost.core.call.CallerCheck;
+import org.sardinepost.core.call.Outcome;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RefusedException;
+import org.sardinepost.core.text.Service;
+
+/** One call from its request head to the end of its answer. */
+final class CallRun {
+    /** A dispatch ends at the deadline by itself and then knows the outcome; this bound is for everything else. */
+    private static final long DEADLINE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private final CallPath path;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final RequestHead head;
+    private final HeldReservation reservation;
+    private final CallTimes times;
+    private final AtomicBoolean answered = new AtomicBoolean();
+    private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
+    private volatile String serviceName = "";
+    private volatile boolean handedToGuard;
+
+    CallRun(CallPath path, Request request, Response response, Callback callback) {
+        this.path = path;
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.head = new RequestHead(request);
+        this.reservation = path.heldBytes().open();
+        this.times = new CallTimes(path.now());
+    }
+
+    void start() {
+        request.addIdleTimeoutListener(timeout -> answered.get());
+        request.addFailureListener(failure -> answer.cancel(false));
+        var unused = answer.whenComplete((held, failure) -> end(held, failure));
+        try {
+            admit();
+        } catch (RefusedException refused) {
+            answer.completeExceptionally(refused);
+        }
+    }
+
+    private void admit() {
+        head.check();
+        RegisteredService target = target(head.host());
+        serviceName = target.service().name();
+        CallContext context = head.context();
+        checkCaller(target.service(), context);
+        long deadlineNanos = deadlineNanos(target.service());
+        Scheduler.Task deadline = path.scheduler()
+                .schedule(this::expire, deadlineNanos + DEADLINE_GRACE_NANOS - path.now(), TimeUnit.NANOSECONDS);
+        times.waiting(path.now());
+        CompletableFuture<ByteBuffer> body = RequestBodyReader.read(request, path.requestLimitBytes(), reservation);
+        CompletableFuture<HeldAnswer> guarded = body.thenCompose(whole -> {
+            times.proceeding(path.now());
+            return guard(new Call(
+                    target, held(whole), context, deadlineNanos, idempotent(target.service()), head.forwardedBy()));
+        });
+        link(guarded, deadline);
+    }
+
+    private void link(CompletableFuture<HeldAnswer> guarded, Scheduler.Task deadline) {
+        var unused = guarded.whenComplete((held, failure) -> {
+            if (failure != null) {
+                answer.completeExceptionally(failure);
+            } else {
+                answer.complete(held);
+            }
+        });
+        var unusedToo = answer.whenComplete((held, failure) -> deadline.cancel());
+    }
+
+    private RegisteredService target(String host) {
+        return path.registry()
+                .forHost(host)
+                .orElseThrow(() -> new RefusedException(RefusalReason.UNKNOWN_SERVICE, "no service has host " + host));
+    }
+
+    private void checkCaller(Service called, CallContext context) {
+        Optional<Service> calling =
+                context.callingService().flatMap(path.registry()::named).map(RegisteredService::service);
+        Optional<RefusedException> refusal = CallerCheck.refusal(called, context, calling);
+        if (refusal.isPresent()) {
+            throw refusal.get();
+        }
+    }
+
+    private long deadlineNanos(Service service) {
+        long allowed = service.deadline().toNanos();
+        Optional<Long> millisLeft = head.millisLeft();
+        if (millisLeft.isPresent()) {
+            allowed = Math.min(allowed, TimeUnit.MILLISECONDS.toNanos(millisLeft.get()));
+        }
+        if (allowed <= 0) {
+            throw new RefusedException(
+                    RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call came after its deadline");
+        }
+        return times.arrivalNanos() + allowed;
+    }
+
+    private HeldRequest held(ByteBuffer body) {
+        return new HeldRequest(
+                request.getMethod(),
+                head.target(),
+                EndToEndHeaders.of(request.getHeaders()),
+                body,
+                head.framedBody() || body.hasRemaining());
+    }
+
+    private boolean idempotent(Service service) {
+        return head.unambiguousPath()
+                .map(plain -> service.idempotent(request.getMethod(), plain))
+                .orElseGet(() -> service.idempotentMethods().contains(request.getMethod()));
+    }
+
+    private CompletableFuture<HeldAnswer> guard(Call call) {
+        if (answer.isDone()) {
+            return CompletableFuture.failedFuture(
+                    new RefusedException(RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call is over"));
+        }
+        handedToGuard = true;
+        CompletableFuture<HeldAnswer> guarded =
+                path.guard().handle(call, new CallSender(path, call, reservation, times));
+        var unused = answer.whenComplete((held, failure) -> guarded.cancel(false));
+        return guarded;
+    }
+
+    private void expire() {
+        Outcome outcome = handedToGuard ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        answer.completeExceptionally(
+                new RefusedException(RefusalReason.DEADLINE_EXCEEDED, outcome, "no answer within the deadline"));
+    }
+
+    private void end(HeldAnswer held, Throwable failure) {
+        answered.set(true);
+        HeldAnswer last = failure == null ? held : OwnAnswers.of(Refusals.of(failure));
+        CallEnd end = CallEnd.of(last);
+        end.reason().ifPresent(path.metrics()::refused);
+        path.metrics().callEnded(serviceName, end.outcome(), times.ownNanos(path.now()));
+        AnswerWriter.write(last, request, response, Callback.from(callback, this::leave));
+    }
+
+    private void leave() {
+        reservation.release();
+        path.callsInProgress().leave();
+    }
+}
--- a/daemon/src/main/java/org/sardinepost/daemon/call/RequestBodyReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/RequestBodyReader.java
@@ -11,25 +11,32 @@
 final class RequestBodyReader {
     private final Request request;
     private final long limitBytes;
-    private final BodyBuffer body;
+    private final HeldReservation reservation;
     private final CompletableFuture<ByteBuffer> whole = new CompletableFuture<>();
+    private BodyBuffer body = new BodyBuffer(0);
+    private long reservedBytes;
 
-    private RequestBodyReader(Request request, long limitBytes) {
+    private RequestBodyReader(Request request, long limitBytes, HeldReservation reservation) {
         this.request = request;
-        this.limitBytes = limitBytes;
-        this.body = new BodyBuffer((int) Math.max(0, Math.min(request.getLength(), limitBytes)));
+        this.limitBytes = Math.min(limitBytes, Integer.MAX_VALUE - 8);
+        this.reservation = reservation;
     }
 
-    static CompletableFuture<ByteBuffer> read(Request request, long limitBytes) {
-        RequestBodyReader reader = new RequestBodyReader(request, limitBytes);
-        if (request.getLength() > limitBytes) {
-            reader.tooLarge();
-        } else {
-            reader.readAvailable();
-        }
+    /** The future fails with {@link RefusedException} if the body is too large, cut or finds no room. */
+    static CompletableFuture<ByteBuffer> read(Request request, long limitBytes, HeldReservation reservation) {
+        RequestBodyReader reader = new RequestBodyReader(request, limitBytes, reservation);
+        reader.start();
         return reader.whole;
     }
 
+    private void start() {
+        long length = Math.max(0, request.getLength());
+        if (reserveUpTo(length)) {
+            body = new BodyBuffer((int) length);
+            readAvailable();
+        }
+    }
+
     private void readAvailable() {
         while (!whole.isDone()) {
             Content.Chunk chunk = request.read();
@@ -38,7 +45,7 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                malformed(chunk.getFailure());
+                refuse(RefusalReason.MALFORMED_REQUEST, "the request body did not reach its end");
                 return;
             }
             take(chunk);
@@ -47,25 +54,31 @@
 
     private void take(Content.Chunk chunk) {
         boolean last = chunk.isLast();
-        if (body.size() + (long) chunk.remaining() > limitBytes) {
-            chunk.release();
-            tooLarge();
-            return;
+        boolean room = reserveUpTo(body.size() + (long) chunk.remaining());
+        if (room) {
+            body.append(chunk.getByteBuffer());
         }
-        body.append(chunk.getByteBuffer());
         chunk.release();
-        if (last) {
+        if (room && last) {
             whole.complete(body.toByteBuffer());
         }
     }
 
-    private void tooLarge() {
-        whole.completeExceptionally(new RefusedException(
-                RefusalReason.REQUEST_TOO_LARGE, "the request body exceeds " + limitBytes + " bytes"));
+    private boolean reserveUpTo(long size) {
+        if (size > limitBytes) {
+            refuse(RefusalReason.REQUEST_TOO_LARGE, "the request body exceeds " + limitBytes + " bytes");
+            return false;
+        }
+        long missing = size - reservedBytes;
+        if (missing > 0 && !reservation.tryAddForRequest(missing)) {
+            refuse(RefusalReason.HELD_BYTES_FULL, "no room to hold " + size + " bytes of a request");
+            return false;
+        }
+        reservedBytes = Math.max(size, reservedBytes);
+        return true;
     }
 
-    private void malformed(Throwable cause) {
-        whole.completeExceptionally(new RefusedException(
-                RefusalReason.MALFORMED_REQUEST, "the request body did not reach its end: " + cause.getMessage()));
+    private void refuse(RefusalReason reason, String detail) {
+        whole.completeExceptionally(new RefusedException(reason, detail));
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.sardinepost.core.retry.RetryBudget;
 import org.sardinepost.core.routing.Dispatcher;
 import org.sardinepost.core.routing.Upstream;
 import org.sardinepost.core.text.Service;
@@ -41,15 +42,22 @@
     }
 
     private RegisteredService register(Service service, List<Upstream> extra) {
-        Dispatcher dispatcher =
-                named(service.name()).map(RegisteredService::dispatcher).orElseGet(() -> dispatchers.apply(service));
+        Optional<RegisteredService> before = named(service.name());
+        Dispatcher dispatcher = before.map(RegisteredService::dispatcher).orElseGet(() -> dispatchers.apply(service));
+        RetryBudget retryBudget = before.filter(old -> sameShare(old.service(), service))
+                .map(RegisteredService::retryBudget)
+                .orElseGet(() -> new RetryBudget(service.retryBudgetShare()));
         List<Upstream> upstreams = new ArrayList<>(service.upstreams());
         extra.stream()
                 .filter(added ->
                         upstreams.stream().noneMatch(known -> known.id().equals(added.id())))
                 .forEach(upstreams::add);
         dispatcher.update(upstreams, nanoClock.getAsLong());
-        return new RegisteredService(service, dispatcher);
+        return new RegisteredService(service, dispatcher, retryBudget);
+    }
+
+    private static boolean sameShare(Service one, Service other) {
+        return Double.compare(one.retryBudgetShare(), other.retryBudgetShare()) == 0;
     }
 
     public Optional<RegisteredService> named(String name) {
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
@@ -5,7 +5,8 @@
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.http.HttpFields;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.routing.UpstreamId;
 
 /** Sends held requests to upstreams and holds their whole answers. */
@@ -21,22 +22,29 @@
      *
      * <p>The future fails with {@link SendException}. Cancelling it aborts the exchange and closes its connection.
      */
-    public CompletableFuture<HeldAnswer> send(UpstreamId upstream, HeldRequest request, long answerLimitBytes) {
+    CompletableFuture<HeldAnswer> send(
+            UpstreamId upstream, HeldRequest request, long answerLimitBytes, HeldReservation reservation) {
         Request exchange = client.newRequest(upstream.host(), upstream.port())
                 .method(request.method())
                 .path(request.target())
-                .idleTimeout(0, TimeUnit.MILLISECONDS);
-        exchange.headers(fields -> fields.add(request.headers()));
+                .idleTimeout(0, TimeUnit.MILLISECONDS)
+                .headers(fields -> fields.add(request.headers()));
+        if (!target(exchange).equals(request.target())) {
+            return CompletableFuture.failedFuture(new RefusedException(
+                    RefusalReason.MALFORMED_REQUEST, "the target cannot be passed on unchanged: " + request.target()));
+        }
         if (request.hasBody()) {
-            exchange.body(new ByteBufferRequestContent(contentType(request.headers()), request.body()));
+            String contentType = request.headers().get("Content-Type");
+            exchange.body(new ByteBufferRequestContent(contentType, request.body()));
         }
-        AnswerCollector collector = new AnswerCollector(exchange, answerLimitBytes);
+        AnswerCollector collector = new AnswerCollector(exchange, answerLimitBytes, reservation);
         exchange.onRequestListener(collector.requestListener());
         exchange.send(collector);
         return collector.answer();
     }
 
-    private static String contentType(HttpFields headers) {
-        return headers.get("Content-Type");
+    /** The client reads a target such as {@code //a/b} as authority and path; such a target must not be altered silently. */
+    private static String target(Request exchange) {
+        return exchange.getQuery() == null ? exchange.getPath() : exchange.getPath() + "?" + exchange.getQuery();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. */
+package org.sardinepost.daemon.log;
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/metrics/CallMetrics.java
@@ -0,0 +1,86 @@
+package org.sardinepost.daemon.metrics;
+
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.sardinepost.core.call.Outcome;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RetryReason;
+
+/** Counters of calls, refusals and retries, and the time that the daemon adds to a call. */
+public final class CallMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** Dense around 0.65 ms, the most that the daemon may add to 99 calls in 100. */
+    private static final double[] ADDED_SECONDS_BOUNDS = {
+        0.00005, 0.0001, 0.0002, 0.0003, 0.0004, 0.0005, 0.00065, 0.0008, 0.001, 0.002, 0.005, 0.01, 0.05
+    };
+
+    private final PrometheusRegistry registry;
+    private final Counter calls;
+    private final Map<RefusalReason, CounterDataPoint> refusals;
+    private final Map<RetryReason, CounterDataPoint> retries;
+    private final Histogram added;
+
+    public CallMetrics(PrometheusRegistry registry) {
+        this.registry = registry;
+        this.calls = Counter.builder()
+                .name("sardinepost_calls_total")
+                .help("Calls that ended, by service and by what the caller was told of their outcome.")
+                .labelNames("service", "outcome")
+                .register(registry);
+        this.refusals = byReason(
+                "sardinepost_refusals_total",
+                "Calls that ended with an answer of the daemon.",
+                RefusalReason.class,
+                RefusalReason::label);
+        this.retries = byReason(
+                "sardinepost_retries_total", "Calls sent to another upstream.", RetryReason.class, RetryReason::label);
+        this.added = Histogram.builder()
+                .name("sardinepost_added_seconds")
+                .help("Time of a call in the daemon, without waiting for the caller, a place or an upstream.")
+                .classicOnly()
+                .classicUpperBounds(ADDED_SECONDS_BOUNDS)
+                .register(registry);
+    }
+
+    /** All reasons are listed from the start, so that a first increase is seen as such. */
+    private <R extends Enum<R>> Map<R, CounterDataPoint> byReason(
+            String name, String help, Class<R> reasons, Function<R, String> label) {
+        Counter counter =
+                Counter.builder().name(name).help(help).labelNames("reason").register(registry);
+        Map<R, CounterDataPoint> points = new EnumMap<>(reasons);
+        Arrays.stream(reasons.getEnumConstants())
+                .forEach(reason -> points.put(reason, counter.labelValues(label.apply(reason))));
+        return points;
+    }
+
+    /** Adds a gauge that is read when metrics are collected. */
+    public void gauge(String name, String help, LongSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(gauge -> gauge.call((double) value.getAsLong()))
+                .register(registry);
+    }
+
+    public void callEnded(String service, Outcome outcome, long ownNanos) {
+        calls.labelValues(service, outcome.label()).inc();
+        added.observe(ownNanos / NANOS_PER_SECOND);
+    }
+
+    public void refused(RefusalReason reason) {
+        refusals.get(reason).inc();
+    }
+
+    public void retried(RetryReason reason) {
+        retries.get(reason).inc();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Prometheus metrics of the daemon. */
+package org.sardinepost.daemon.metrics;
