Guard non-idempotent calls with idempotency tokens in the daemon

The caller path dispatched every call as it came. TokenGuard now answers 428 with a fresh token, lets the table decide on repeats, forwards tokens of other incarnations once, and records how a dispatch ended. Whatever prevents a forward, the outcome is unknown.

A refusal before the guard has seen a token (limits, expired deadline, draining) claimed "not run", although the request may be the repeat of one that ran; it is now "unknown". The deadline could also tell "not run" while the guard was starting; both now claim the call atomically.

ForwardingTest posts without token, so its service has optional tokens; its assertions are unchanged.

--- a/core/src/main/java/org/sardinepost/core/call/RefusedException.java
+++ b/core/src/main/java/org/sardinepost/core/call/RefusedException.java
@@ -20,6 +20,17 @@
         this.outcome = Objects.requireNonNull(outcome);
     }
 
+    private RefusedException(RefusedException original, Outcome outcome) {
+        super(original.getMessage(), null, false, false);
+        this.reason = original.reason;
+        this.outcome = outcome;
+    }
+
+    /** The same refusal with another outcome. */
+    public RefusedException withOutcome(Outcome other) {
+        return new RefusedException(this, other);
+    }
+
     public RefusalReason reason() {
         return reason;
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -14,10 +14,10 @@
 import org.sardinepost.daemon.call.DispatchGate;
 import org.sardinepost.daemon.call.HeldBytes;
 import org.sardinepost.daemon.call.RefusalErrorHandler;
-import org.sardinepost.daemon.call.RequestGuard;
 import org.sardinepost.daemon.call.ServiceRegistry;
 import org.sardinepost.daemon.call.UpstreamClient;
 import org.sardinepost.daemon.metrics.CallMetrics;
+import org.sardinepost.daemon.token.DaemonTokens;
 
 /** One daemon: wires the caller path to the registry of services. */
 public final class Daemon implements AutoCloseable {
@@ -28,11 +28,13 @@
     private final CallsInProgress callsInProgress = new CallsInProgress();
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("deadlines", true);
     private final HeldBytes heldBytes;
+    private final DaemonTokens tokens;
     private final HttpClient client = ClientFactory.create();
     private final Server server;
 
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
+        this.tokens = DaemonTokens.create(settings, System::nanoTime);
         this.server = CallerServerFactory.create(settings, new CallerHandler(callPath(settings)));
         server.setErrorHandler(new RefusalErrorHandler(metrics));
         metrics.gauge("sardinepost_held_bytes", "Bytes of requests and answers held.", heldBytes::usedBytes);
@@ -43,7 +45,7 @@
         return new CallPath(
                 registry,
                 new UpstreamClient(client),
-                RequestGuard.passThrough(),
+                tokens.guard(),
                 DispatchGate.open(),
                 heldBytes,
                 callsInProgress,
@@ -54,6 +56,11 @@
                 settings.requestLimitBytes());
     }
 
+    /** The idempotency tokens of this incarnation. */
+    public DaemonTokens tokens() {
+        return tokens;
+    }
+
     /** The services in force; whoever reads the configuration applies it here. */
     public ServiceRegistry registry() {
         return registry;
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -31,6 +31,9 @@
     private final AtomicBoolean answered = new AtomicBoolean();
     private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
     private volatile String serviceName = "";
+    /** Claimed by the guard or by the deadline: no dispatch may begin after "not run" was told. */
+    private final AtomicBoolean claimed = new AtomicBoolean();
+
     private volatile boolean handedToGuard;
 
     CallRun(CallPath path, Request request, Response response, Callback callback) {
@@ -128,7 +131,7 @@
     }
 
     private CompletableFuture<HeldAnswer> guard(Call call) {
-        if (answer.isDone()) {
+        if (answer.isDone() || !claimed.compareAndSet(false, true)) {
             return CompletableFuture.failedFuture(
                     new RefusedException(RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call is over"));
         }
@@ -140,20 +143,25 @@
     }
 
     private void expire() {
-        Outcome outcome = handedToGuard ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        Outcome outcome = claimed.compareAndSet(false, true) ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         answer.completeExceptionally(
                 new RefusedException(RefusalReason.DEADLINE_EXCEEDED, outcome, "no answer within the deadline"));
     }
 
     private void end(HeldAnswer held, Throwable failure) {
         answered.set(true);
-        HeldAnswer last = failure == null ? held : OwnAnswers.of(Refusals.of(failure));
+        HeldAnswer last = failure == null ? held : OwnAnswers.of(refusal(failure));
         CallEnd end = CallEnd.of(last);
         end.reason().ifPresent(path.metrics()::refused);
         path.metrics().callEnded(serviceName, end.outcome(), times.ownNanos(path.now()));
         AnswerWriter.write(last, request, response, Callback.from(callback, this::leave));
     }
 
+    private RefusedException refusal(Throwable failure) {
+        RefusedException refused = Refusals.of(failure);
+        return handedToGuard ? refused : Refusals.beforeGuard(request.getHeaders(), refused);
+    }
+
     private void leave() {
         reservation.release();
         path.callsInProgress().leave();
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerHandler.java
@@ -27,7 +27,8 @@
 
     private void refuse(Request request, Response response, Callback callback) {
         path.metrics().refused(RefusalReason.DRAINING);
-        HeldAnswer answer = OwnAnswers.of(new RefusedException(RefusalReason.DRAINING, "this daemon is stopping"))
+        RefusedException refused = new RefusedException(RefusalReason.DRAINING, "this daemon is stopping");
+        HeldAnswer answer = OwnAnswers.of(Refusals.beforeGuard(request.getHeaders(), refused))
                 .withHeader("Connection", "close");
         AnswerWriter.write(answer, request, response, callback);
     }
--- a/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.io.Content;
 import org.junit.jupiter.api.Test;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.core.text.TokenMode;
 
 /** Guards against calls that reach the wrong service or lose a part on their way. */
 final class ForwardingTest {
@@ -31,6 +32,7 @@
     private static Service catalogue(TestUpstream upstream) {
         return Service.builder("catalogue")
                 .external(true)
+                .tokens(TokenMode.OPTIONAL)
                 .upstreams(List.of(upstream.upstream()))
                 .build();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/sardinepost/daemon/TokenCaller.java
@@ -0,0 +1,57 @@
+package org.sardinepost.daemon;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.sardinepost.daemon.call.CallHeaders;
+
+/** A caller that gets, sends and repeats tokens. */
+final class TokenCaller implements AutoCloseable {
+    private static final int SAFETY_TIMEOUT_S = 60;
+
+    private final HttpClient client = new HttpClient();
+
+    TokenCaller() throws Exception {
+        client.start();
+    }
+
+    /** What a caller sees of an answer. */
+    record Reply(int status, String outcome, Optional<String> token, String body) {}
+
+    Reply order(int port, String token, String body) throws Exception {
+        return post(port, body, headers -> headers.put(CallHeaders.TOKEN, token));
+    }
+
+    Reply post(int port, String body, Consumer<HttpFields.Mutable> headers) throws Exception {
+        ContentResponse response = client.newRequest("127.0.0.1", port)
+                .method("POST")
+                .path("/orders")
+                .headers(fields -> {
+                    fields.put(HttpHeader.HOST, "booking");
+                    headers.accept(fields);
+                })
+                .body(new StringRequestContent(body))
+                .timeout(SAFETY_TIMEOUT_S, TimeUnit.SECONDS)
+                .send();
+        return new Reply(
+                response.getStatus(),
+                String.valueOf(response.getHeaders().get(CallHeaders.OUTCOME)),
+                Optional.ofNullable(response.getHeaders().get(CallHeaders.TOKEN)),
+                response.getContentAsString());
+    }
+
+    /** A token of the daemon, from its answer to a request without token. */
+    String token(int port) throws Exception {
+        return post(port, "", headers -> {}).token().orElseThrow();
+    }
+
+    @Override
+    public void close() throws Exception {
+        client.stop();
+    }
+}
