Add sardinepostctl check, diff and status

Operators had no way to check a text before they submit it. check reports every fault, diff shows what a new text means to a daemon and warns when the version was not raised, status prints a daemon's status page. Faults and warnings go to the error output.

A byte order mark and other encodings than UTF-8 are faults with a remedy of their own.

Seen to fail: with an equal version taken for raised, CtlTest.Diff.warnsWhenTheVersionWasNotRaised failed.

--- a/core/src/main/java/org/sardinepost/core/ini/CheckedFile.java
+++ b/core/src/main/java/org/sardinepost/core/ini/CheckedFile.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.sardinepost.core.ini.rules.ByteOrderMark;
 import org.sardinepost.core.ini.rules.TextPresent;
 import org.sardinepost.core.ini.rules.TextSize;
 
@@ -13,7 +14,7 @@
     /** Bounds the memory and the output for a file of another kind, of which every line is a fault. */
     private static final int MAX_FINDINGS = 1_000;
 
-    private static final List<TextRule> TEXT_RULES = List.of(new TextPresent(), new TextSize());
+    private static final List<TextRule> TEXT_RULES = List.of(new TextPresent(), new TextSize(), new ByteOrderMark());
 
     private CheckedFile() {}
 
--- a/core/src/test/java/org/sardinepost/core/ini/rules/CommonRulesTest.java
+++ b/core/src/test/java/org/sardinepost/core/ini/rules/CommonRulesTest.java
@@ -43,6 +43,15 @@
         }
     }
 
+    @Nested
+    class ByteOrderMarkRule {
+        @Test
+        void firesAtTheStartOnly() {
+            assertThat(new ByteOrderMark().check("f.ini", "\uFEFF[text]")).isPresent();
+            assertThat(new ByteOrderMark().check("f.ini", "[text]\n; \uFEFF")).isEmpty();
+        }
+    }
+
     @Nested
     class LineSyntaxRule {
         @ParameterizedTest
--- a/ctl/src/main/java/org/sardinepost/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/sardinepost/ctl/CtlMain.java
@@ -1,10 +1,56 @@
 package org.sardinepost.ctl;
 
-/** Entry point of the ctl program. */
-public final class CtlMain {
-    private CtlMain() {}
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.ScopeType;
+import picocli.CommandLine.Spec;
+
+/** Entry point of sardinepostctl. */
+@Command(
+        name = "sardinepostctl",
+        description = "Checks and compares services texts, and shows the status of a daemon.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {
+            "0:all is fine",
+            "1:a text is wrong, or the daemon gave no status",
+            "2:usage error, or a file cannot be read"
+        },
+        subcommands = {CheckCommand.class, DiffCommand.class, StatusCommand.class})
+public final class CtlMain implements Callable<Integer> {
+    @Option(
+            names = {"-h", "--help"},
+            usageHelp = true,
+            scope = ScopeType.INHERIT,
+            description = "Shows this help.")
+    @SuppressWarnings("UnusedVariable") // picocli acts on it
+    private boolean help;
+
+    @Spec
+    private CommandSpec spec;
 
     public static void main(String[] args) {
-        System.exit(2);
+        System.exit(commandLine().execute(args));
+    }
+
+    static CommandLine commandLine() {
+        return new CommandLine(new CtlMain()).setExecutionExceptionHandler(CtlMain::report);
+    }
+
+    @Override
+    public Integer call() {
+        throw new ParameterException(spec.commandLine(), "name a command: check, diff or status");
+    }
+
+    private static int report(Exception failure, CommandLine commandLine, CommandLine.ParseResult parsed)
+            throws Exception {
+        if (failure instanceof CtlException known) {
+            commandLine.getErr().println(known.getMessage());
+            return known.exitCode();
+        }
+        throw failure;
     }
 }
--- /dev/null
+++ b/ctl/src/main/java/org/sardinepost/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line tool. */
+package org.sardinepost.ctl;
--- /dev/null
+++ b/ctl/src/test/java/org/sardinepost/ctl/CtlTest.java
@@ -0,0 +1,209 @@
+package org.sardinepost.ctl;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+/** Guards against a tool whose exit code or output lets a wrong text pass. */
+class CtlTest {
+    private static final String TEXT =
+            """
+                [text]
+                version = 7
+                [service a]
+                slots = 2
+                deadline = 2s
+                upstreams = 10.0.0.1:80@x, 10.0.0.2:80@y
+                [service b]
+                """;
+
+    @TempDir
+    private Path directory;
+
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    private int run(String... args) {
+        CommandLine commandLine = CtlMain.commandLine();
+        return commandLine
+                .setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(err, true))
+                .execute(args);
+    }
+
+    private String file(String name, String content) throws IOException {
+        return Files.writeString(directory.resolve(name), content).toString();
+    }
+
+    @Nested
+    class Usage {
+        @Test
+        void helpListsCommandsAndExitCodes() {
+            assertThat(run("--help")).isEqualTo(0);
+            assertThat(out.toString()).contains("check");
+            assertThat(out.toString()).contains("usage error");
+        }
+
+        @Test
+        void errorsExitWithTwo() {
+            assertThat(run()).isEqualTo(2);
+            assertThat(run("check")).isEqualTo(2);
+            assertThat(run("chek", "x")).isEqualTo(2);
+            assertThat(run("status", "localhost")).isEqualTo(2);
+            assertThat(run("check", directory.resolve("missing.ini").toString()))
+                    .isEqualTo(2);
+            assertThat(run("check", directory.toString())).isEqualTo(2);
+            assertThat(err.toString()).contains("missing.ini: the file does not exist; check the path");
+        }
+    }
+
+    @Nested
+    class Check {
+        @Test
+        void acceptsAGoodText() throws IOException {
+            assertThat(run("check", file("s.ini", TEXT))).isEqualTo(0);
+            assertThat(out.toString()).contains("version 7, services: 2, upstreams in the text: 2");
+            assertThat(err.toString()).isEmpty();
+        }
+
+        @Test
+        void reportsEveryFault() throws IOException {
+            String name = file("s.ini", "[text]\nversion = x\n[service a]\ndepends-on = b\n");
+            assertThat(run("check", name)).isEqualTo(1);
+            assertThat(err.toString().lines().toList()).hasSize(2);
+            assertThat(err.toString()).contains(name + ":2: [text] version: ");
+            assertThat(err.toString()).contains(name + ":4: [service a] depends-on: service b does not exist; ");
+        }
+
+        @Test
+        void refusesOtherEncodings() throws IOException {
+            Path path = Files.write(directory.resolve("s.ini"), "; \u00e9\n".getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(run("check", path.toString())).isEqualTo(1);
+            assertThat(err.toString()).contains("save it in UTF-8");
+        }
+    }
+
+    @Nested
+    class Diff {
+        private int diff(String before, String after) throws IOException {
+            return run("diff", file("old.ini", before), file("new.ini", after));
+        }
+
+        @Test
+        void showsEveryChangeWithBothValues() throws IOException {
+            String after =
+                    """
+                [text]
+                version = 8
+                [service a]
+                slots = 3
+                hosts = x
+                upstreams = 10.0.0.2:80@y, 10.0.0.3:80@z
+                [service c]
+                """;
+            assertThat(diff(TEXT, after)).isEqualTo(0);
+            assertThat(out.toString().lines().toList())
+                    .containsExactly(
+                            "[service b] removed",
+                            "[text] version: 7 -> 8",
+                            "[service a] hosts: empty (default) -> x",
+                            "[service a] slots: 2 -> 3",
+                            "[service a] upstream removed: 10.0.0.1:80@x",
+                            "[service a] upstream added: 10.0.0.3:80@z",
+                            "[service c] added")
+                    .inOrder();
+            assertThat(err.toString()).isEmpty();
+        }
+
+        @Test
+        void comparesMeaning() throws IOException {
+            String after =
+                    """
+                [text]
+                version = 8
+                daemon-ceiling = 19
+                [service b]
+                [service  a] ; c
+                deadline = 2000ms
+                slots=2
+                upstreams = 10.0.0.2:80@y, 10.0.0.1:80@x
+                """;
+            assertThat(diff(TEXT, after)).isEqualTo(0);
+            assertThat(out.toString().lines().toList()).containsExactly("[text] version: 7 -> 8");
+        }
+
+        /** Daemons refuse another text with the same version, even if only a comment differs. */
+        @Test
+        void warnsWhenTheVersionWasNotRaised() throws IOException {
+            assertThat(diff(TEXT, TEXT + "; c\n")).isEqualTo(0);
+            assertThat(out.toString()).isEqualTo("no changes" + System.lineSeparator());
+            assertThat(err.toString()).contains("set [text] version above 7");
+        }
+
+        @Test
+        void warnsNotForTheSameText() throws IOException {
+            assertThat(diff(TEXT, TEXT)).isEqualTo(0);
+            assertThat(err.toString()).isEmpty();
+        }
+
+        @Test
+        void refusesFaultyTexts() throws IOException {
+            assertThat(diff(TEXT, "[text]\n")).isEqualTo(1);
+            assertThat(err.toString()).contains("new.ini:1: [text] version: the key is missing");
+        }
+    }
+
+    @Nested
+    class Status {
+        private int statusOf(int code, String body) throws IOException {
+            HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+            server.createContext("/status", exchange -> {
+                byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+                exchange.sendResponseHeaders(code, bytes.length);
+                exchange.getResponseBody().write(bytes);
+                exchange.close();
+            });
+            server.start();
+            try {
+                return run("status", "127.0.0.1:" + server.getAddress().getPort());
+            } finally {
+                server.stop(0);
+            }
+        }
+
+        @Test
+        void printsThePage() throws IOException {
+            assertThat(statusOf(200, "version: 7\n")).isEqualTo(0);
+            assertThat(out.toString()).isEqualTo("version: 7\n");
+        }
+
+        @Test
+        void namesTheRemedyForAnotherServer() throws IOException {
+            assertThat(statusOf(404, "")).isEqualTo(1);
+            assertThat(err.toString()).contains("answered 404 instead of a status; check that it is the admin-address");
+        }
+
+        @Test
+        void namesTheRemedyForAClosedPort() throws IOException {
+            int port;
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = socket.getLocalPort();
+            }
+            assertThat(run("status", "127.0.0.1:" + port)).isEqualTo(1);
+            assertThat(err.toString()).contains("check the address against admin-address");
+        }
+    }
+}
