--- a/standins/src/main/java/org/sardinepost/standins/load/OverheadCommand.java
+++ b/standins/src/main/java/org/sardinepost/standins/load/OverheadCommand.java
@@ -68,8 +68,8 @@
         try {
             run(client, rates.get(0), warmUpSeconds);
             System.out.println("| calls/s through the daemon | direct p50 ms | p99 ms | daemon p50 ms | p99 ms"
-                    + " | added p50 ms | added p99 ms | daemon processor us per call |");
-            System.out.println("|---|---|---|---|---|---|---|---|");
+                    + " | added p50 ms | added p99 ms | daemon processor us per call | not answered with 200 |");
+            System.out.println("|---|---|---|---|---|---|---|---|---|");
             for (int rate : rates) {
                 System.out.println(run(client, rate, seconds));
             }
@@ -106,7 +106,15 @@
         double median = proxied.percentileMicros(50) / MICROS_PER_MILLI;
         double tail = proxied.percentileMicros(99) / MICROS_PER_MILLI;
         return String.format(
-                "| %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.1f |",
-                rate, directMedian, directTail, median, tail, median - directMedian, tail - directTail, microsPerCall);
+                "| %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.1f | %d |",
+                rate,
+                directMedian,
+                directTail,
+                median,
+                tail,
+                median - directMedian,
+                tail - directTail,
+                microsPerCall,
+                direct.unsuccessful() + proxied.unsuccessful());
     }
 }
--- a/standins/src/main/java/org/sardinepost/standins/load/Tally.java
+++ b/standins/src/main/java/org/sardinepost/standins/load/Tally.java
@@ -27,6 +27,14 @@
         return wrongAnswers;
     }
 
+    /** Calls without an answer of status 200. */
+    public synchronized long unsuccessful() {
+        return answers.entrySet().stream()
+                .filter(entry -> !entry.getKey().startsWith("200 "))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
     public synchronized long calls() {
         return latencyMicros.getTotalCount();
     }
