--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -44,8 +44,4 @@
         http.setUriCompliance(TARGETS);
         return http;
     }
-
-    static int port(Server server) {
-        return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
-    }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -1,13 +1,20 @@
 package org.sardinepost.daemon;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.sardinepost.core.routing.LeastInFlightDispatcher;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.core.text.ServicesText;
+import org.sardinepost.daemon.admin.AdminHandler;
+import org.sardinepost.daemon.admin.Readiness;
+import org.sardinepost.daemon.admin.StatusPage;
 import org.sardinepost.daemon.call.CallPath;
 import org.sardinepost.daemon.call.CallerHandler;
 import org.sardinepost.daemon.call.CallsInProgress;
@@ -17,26 +24,33 @@
 import org.sardinepost.daemon.call.RequestGuard;
 import org.sardinepost.daemon.call.ServiceRegistry;
 import org.sardinepost.daemon.call.UpstreamClient;
+import org.sardinepost.daemon.log.LogEvent;
 import org.sardinepost.daemon.metrics.CallMetrics;
 
-/** One daemon: wires the caller path to the registry of services. */
+/** One daemon: wires the caller path, the admin address and the planned stop. */
 public final class Daemon implements AutoCloseable {
     private final ServiceRegistry registry =
             new ServiceRegistry(service -> new LeastInFlightDispatcher(), System::nanoTime);
     private final PrometheusRegistry prometheus = new PrometheusRegistry();
     private final CallMetrics metrics = new CallMetrics(prometheus);
     private final CallsInProgress callsInProgress = new CallsInProgress();
+    private final Readiness readiness = new Readiness();
+    private final StatusPage status = new StatusPage();
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("deadlines", true);
-    private final HeldBytes heldBytes;
     private final HttpClient client = ClientFactory.create();
-    private final Server server;
+    private final HeldBytes heldBytes;
+    private final Server callerServer;
+    private final Server adminServer;
+    private final PlannedStop plannedStop;
 
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
-        this.server = CallerServerFactory.create(settings, new CallerHandler(callPath(settings)));
-        server.setErrorHandler(new RefusalErrorHandler(metrics));
-        metrics.gauge("sardinepost_held_bytes", "Bytes of requests and answers held.", heldBytes::usedBytes);
-        metrics.gauge("sardinepost_calls_in_progress", "Calls in progress.", callsInProgress::count);
+        this.callerServer = CallerServerFactory.create(settings, new CallerHandler(callPath(settings)));
+        this.adminServer =
+                AdminServerFactory.create(settings.adminAddress(), new AdminHandler(readiness, status, prometheus));
+        this.plannedStop = new PlannedStop(callsInProgress, settings.drainWait(), this::closeListener);
+        callerServer.setErrorHandler(new RefusalErrorHandler(metrics));
+        observe(settings);
     }
 
     private CallPath callPath(DaemonSettings settings) {
@@ -54,29 +68,81 @@
                 settings.requestLimitBytes());
     }
 
+    private void observe(DaemonSettings settings) {
+        metrics.gauge("sardinepost_held_bytes", "Bytes of requests and answers held.", heldBytes::usedBytes);
+        metrics.gauge("sardinepost_calls_in_progress", "Calls in progress.", callsInProgress::count);
+        readiness.require(plannedStop::obstacle);
+        readiness.require(() -> registry.hasText() ? Optional.empty() : Optional.of("no services text"));
+        status.add(() -> List.of(
+                "caller-address: " + settings.callerAddress(),
+                "failure-domain: " + settings.failureDomain(),
+                "region: " + settings.region(),
+                "ready: " + (readiness.obstacles().isEmpty() ? "yes" : "no"),
+                "calls-in-progress: " + callsInProgress.count(),
+                "held-bytes: " + heldBytes.usedBytes(),
+                "services: " + String.join(", ", registry.names())));
+    }
+
     /** The services in force; whoever reads the configuration applies it here. */
     public ServiceRegistry registry() {
         return registry;
     }
 
+    /** Conditions of readiness; other parts add theirs. */
+    public Readiness readiness() {
+        return readiness;
+    }
+
+    /** The status page; other parts add their lines. */
+    public StatusPage status() {
+        return status;
+    }
+
+    public PrometheusRegistry prometheus() {
+        return prometheus;
+    }
+
     public void apply(ServicesText text) {
         registry.apply(text, Map.of());
+        LogEvent.TEXT_APPLIED.info(text.version(), text.services().size());
     }
 
     public void start() throws Exception {
         scheduler.start();
         client.start();
-        server.start();
+        adminServer.start();
+        callerServer.start();
+        LogEvent.STARTED.info(callerPort(), adminPort());
     }
 
     /** The port of the caller address; differs from the settings if they ask for port 0. */
     public int callerPort() {
-        return CallerServerFactory.port(server);
+        return port(callerServer);
+    }
+
+    /** The port of the admin address; differs from the settings if they ask for port 0. */
+    public int adminPort() {
+        return port(adminServer);
+    }
+
+    private static int port(Server server) {
+        return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
+    }
+
+    private void closeListener() {
+        ((ServerConnector) callerServer.getConnectors()[0]).close();
+    }
+
+    /** Drains and stops; completes when the last call has ended. The admin address answers until {@link #close}. */
+    public CompletableFuture<Void> stop() {
+        return plannedStop.run();
     }
 
+    /** Ends at once; calls in progress are cut. */
     @Override
     public void close() throws Exception {
-        server.stop();
+        callerServer.stop();
+        adminServer.stop();
         client.stop();
         scheduler.stop();
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
@@ -2,16 +2,26 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import org.sardinepost.daemon.log.LogEvent;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** Entry point of the daemon program. */
-@Command(name = "sardinepostd", description = "Balances calls over upstreams.", mixinStandardHelpOptions = true)
+@Command(
+        name = "sardinepostd",
+        description = "Balances calls over upstreams.",
+        mixinStandardHelpOptions = true,
+        version = "sardinepostd 0.1.0",
+        exitCodeListHeading = "Exit codes:%n",
+        exitCodeList = {"0:success", "1:settings or services text wrong, or start failed", "2:usage error"})
 public final class DaemonMain implements Callable<Integer> {
     @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings of this daemon.")
     private Path settingsFile;
 
+    @Option(names = "--check", description = "Only check the settings and, if they name a file, the services text.")
+    private boolean checkOnly;
+
     private DaemonMain() {}
 
     public static void main(String[] args) {
@@ -19,15 +29,29 @@
     }
 
     @Override
-    public Integer call() throws Exception {
+    public Integer call() throws InterruptedException {
         StartFiles files = StartFiles.read(settingsFile);
         if (!files.findings().isEmpty()) {
             files.findings().forEach(finding -> System.err.println(finding));
             return CommandLine.ExitCode.SOFTWARE;
         }
+        if (checkOnly) {
+            System.out.println("no fault found");
+            return CommandLine.ExitCode.OK;
+        }
+        return serve(files);
+    }
+
+    private static int serve(StartFiles files) throws InterruptedException {
         Daemon daemon = new Daemon(files.settings().orElseThrow());
         files.text().ifPresent(daemon::apply);
-        daemon.start();
+        try {
+            daemon.start();
+        } catch (Exception e) {
+            LogEvent.START_FAILED.error(e, e.getMessage());
+            return CommandLine.ExitCode.SOFTWARE;
+        }
+        StopOnSignal.install(daemon);
         Thread.currentThread().join();
         return CommandLine.ExitCode.OK;
     }
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Health, readiness, metrics and status for operators. */
+package org.sardinepost.daemon.admin;
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -149,6 +149,12 @@
         answered.set(true);
         HeldAnswer last = failure == null ? held : OwnAnswers.of(Refusals.of(failure));
         CallEnd end = CallEnd.of(last);
+        // Where a malformed request ends is uncertain, so nothing after it is read as a request.
+        boolean malformed =
+                end.reason().filter(RefusalReason.MALFORMED_REQUEST::equals).isPresent();
+        if (malformed || path.callsInProgress().draining()) {
+            last = last.withHeader("Connection", "close");
+        }
         end.reason().ifPresent(path.metrics()::refused);
         path.metrics().callEnded(serviceName, end.outcome(), times.ownNanos(path.now()));
         AnswerWriter.write(last, request, response, Callback.from(callback, this::leave));
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
@@ -7,6 +7,7 @@
     private final CompletableFuture<Void> allDone = new CompletableFuture<>();
     private int count;
     private boolean closed;
+    private volatile boolean draining;
 
     /** Counts a call in; false after {@link #close}. */
     synchronized boolean tryEnter() {
@@ -28,6 +29,15 @@
         return closed && count == 0;
     }
 
+    /** From now on each answer ends its connection, so that callers move to other daemons. */
+    public void startDraining() {
+        draining = true;
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
     public synchronized int count() {
         return count;
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
@@ -47,7 +47,7 @@
         if (headers.contains(HttpHeader.CONTENT_LENGTH)) {
             throw malformed("both Transfer-Encoding and Content-Length");
         }
-        if (request.getConnectionMetaData().getHttpVersion().getVersion() < HttpVersion.HTTP_1_1.getVersion()) {
+        if (version() < HttpVersion.HTTP_1_1.getVersion()) {
             throw malformed("Transfer-Encoding in HTTP/1.0");
         }
     }
@@ -57,13 +57,19 @@
         Optional<String> header = single(HttpHeader.HOST.asString());
         HttpURI uri = request.getHttpURI();
         Optional<String> authority = Optional.ofNullable(uri.getAuthority());
-        if (header.isEmpty() && authority.isEmpty()) {
+        // The server fills in its own address where a request of HTTP/1 names no host.
+        Optional<String> named = version() < HttpVersion.HTTP_2.getVersion() ? header : header.or(() -> authority);
+        if (named.filter(host -> !host.isBlank()).isEmpty()) {
             throw malformed("no Host header");
         }
         if (header.isPresent() && authority.isPresent() && !sameHost(header.get(), authority.get())) {
             throw malformed("the Host header differs from the host of the target");
         }
-        return header.or(() -> authority).orElseThrow();
+        return named.get();
+    }
+
+    private int version() {
+        return request.getConnectionMetaData().getHttpVersion().getVersion();
     }
 
     private static boolean sameHost(String one, String other) {
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon.call;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -69,9 +70,20 @@
         return Optional.ofNullable(snapshot.byHost().get(HostName.normalized(HostName.withoutPort(hostHeader))));
     }
 
-    public Iterable<RegisteredService> services() {
+    /** The services in force, for example to expire waiting calls on each control tick. */
+    public Collection<RegisteredService> services() {
         return snapshot.byName().values();
     }
 
+    /** The names of the services in order. */
+    public List<String> names() {
+        return snapshot.byName().keySet().stream().sorted().toList();
+    }
+
+    /** Whether a text was ever put in force. */
+    public boolean hasText() {
+        return !snapshot.byName().isEmpty();
+    }
+
     private record Snapshot(Map<String, RegisteredService> byName, Map<String, RegisteredService> byHost) {}
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
@@ -10,7 +10,8 @@
     STOPPED(4, "stopped after the last call"),
     CALL_FAULT(5, "fault while handling a call: {}"),
     TEXT_APPLIED(6, "services text version {} with {} services is in force"),
-    START_FAILED(7, "start failed: {}");
+    START_FAILED(7, "start failed: {}"),
+    STOP_FAILED(8, "planned stop failed: {}");
 
     private final int number;
     private final String message;
--- a/daemon/src/test/java/org/sardinepost/daemon/RawCaller.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/RawCaller.java
@@ -7,7 +7,7 @@
 
 /** Sends bytes exactly as given and reads what comes back until the connection ends. */
 final class RawCaller {
-    private static final int SAFETY_TIMEOUT_MS = 30_000;
+    private static final int SAFETY_TIMEOUT_MS = 10_000;
 
     private RawCaller() {}
 
