--- a/daemon/src/test/java/org/sardinepost/daemon/RawCaller.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/RawCaller.java
@@ -24,4 +24,9 @@
     static String request(String requestLine, String... headers) {
         return requestLine + "\r\n" + String.join("\r\n", headers) + "\r\nConnection: close\r\n\r\n";
     }
+
+    /** A message head of these lines. */
+    static String lines(String... lines) {
+        return String.join("\r\n", lines) + "\r\n\r\n";
+    }
 }
