--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerConnector.java
@@ -0,0 +1,24 @@
+package org.sardinepost.daemon;
+
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.ConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.sardinepost.daemon.call.CallerEndPoint;
+
+/** Accepts connections whose end can be noticed while a call is in progress. */
+final class CallerConnector extends ServerConnector {
+    CallerConnector(Server server, int acceptors, int selectors, ConnectionFactory... factories) {
+        super(server, acceptors, selectors, factories);
+    }
+
+    @Override
+    protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+        CallerEndPoint endPoint = new CallerEndPoint(channel, selector, key, getScheduler(), getExecutor());
+        endPoint.setIdleTimeout(getIdleTimeout());
+        return endPoint;
+    }
+}
--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -7,7 +7,6 @@
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sardinepost.core.settings.DaemonSettings;
 
@@ -26,7 +25,7 @@
         threads.setName("caller");
         Server server = new Server(threads);
         HttpConfiguration http = configuration(settings);
-        ServerConnector connector = new ServerConnector(
+        CallerConnector connector = new CallerConnector(
                 server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(http), new HTTP2CServerConnectionFactory(http));
         connector.setHost(settings.callerAddress().host());
         connector.setPort(settings.callerAddress().port());
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -138,6 +138,11 @@
         return plannedStop.run();
     }
 
+    /** Whether the planned stop has come to the point where new calls are refused. */
+    boolean refusesCalls() {
+        return callsInProgress.closed();
+    }
+
     /** Ends at once; calls in progress are cut. */
     @Override
     public void close() throws Exception {
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -28,6 +28,7 @@
     private final RequestHead head;
     private final HeldReservation reservation;
     private final CallTimes times;
+    private final CallerWatch callerWatch;
     private final AtomicBoolean answered = new AtomicBoolean();
     private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
     private volatile String serviceName = "";
@@ -39,6 +40,7 @@
         this.response = response;
         this.callback = callback;
         this.head = new RequestHead(request);
+        this.callerWatch = new CallerWatch(request);
         this.reservation = path.heldBytes().open();
         this.times = new CallTimes(path.now());
     }
@@ -133,6 +135,10 @@
                     new RefusedException(RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call is over"));
         }
         handedToGuard = true;
+        callerWatch.start(() -> answer.cancel(false));
+        if (answer.isDone()) {
+            callerWatch.stop();
+        }
         CompletableFuture<HeldAnswer> guarded =
                 path.guard().handle(call, new CallSender(path, call, reservation, times));
         var unused = answer.whenComplete((held, failure) -> guarded.cancel(false));
@@ -147,6 +153,7 @@
 
     private void end(HeldAnswer held, Throwable failure) {
         answered.set(true);
+        callerWatch.stop();
         HeldAnswer last = failure == null ? held : OwnAnswers.of(Refusals.of(failure));
         CallEnd end = CallEnd.of(last);
         // Where a malformed request ends is uncertain, so nothing after it is read as a request.
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
@@ -38,6 +38,10 @@
         return draining;
     }
 
+    public synchronized boolean closed() {
+        return closed;
+    }
+
     public synchronized int count() {
         return count;
     }
--- a/daemon/src/test/java/org/sardinepost/daemon/ScriptedUpstream.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ScriptedUpstream.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.sardinepost.core.routing.Upstream;
 import org.sardinepost.core.routing.UpstreamId;
@@ -21,6 +22,7 @@
     private final String answer;
     private final boolean closesAfterAnswer;
     private final List<String> heads = new CopyOnWriteArrayList<>();
+    private final CompletableFuture<Void> firstConnectionEnded = new CompletableFuture<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     private ScriptedUpstream(String answer, boolean closesAfterAnswer) throws IOException {
@@ -34,6 +36,11 @@
         return new ScriptedUpstream(answer, false);
     }
 
+    /** Never answers. */
+    static ScriptedUpstream silent() throws IOException {
+        return new ScriptedUpstream("", false);
+    }
+
     static ScriptedUpstream closing(String answer) throws IOException {
         return new ScriptedUpstream(answer, true);
     }
@@ -76,6 +83,7 @@
         } catch (IOException e) {
             // The daemon or the test closed the connection.
         }
+        firstConnectionEnded.complete(null);
     }
 
     /** The heads of the requests received, in order. */
@@ -83,8 +91,16 @@
         return heads;
     }
 
-    int connectionCount() {
-        return connections.size();
+    /** Completes when the daemon has closed a connection to this upstream. */
+    CompletableFuture<Void> firstConnectionEnded() {
+        return firstConnectionEnded;
+    }
+
+    /** Waits for the head of a request. */
+    void awaitHead() throws InterruptedException {
+        while (heads.isEmpty()) {
+            Thread.sleep(1);
+        }
     }
 
     Upstream upstream() {
