Add the control side of the daemon, not yet wired into it

The control thread reads the services text and the VM list, exchanges configuration, marks and loads with the peers, hands token tables over and holds dispatches after a pause. Offers are compact and sections are fetched by digest, so that a change of 5 KB in a 1 MB text costs each daemon the digests and that one section.

The registry can apply a text without leaving upstreams, so that an upstream that returns starts afresh, and the upstream client reports draining answers and refused connections.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
@@ -108,8 +108,8 @@
 
     private boolean complete(Result result) {
         if (result.isFailed()) {
-            answer.completeExceptionally(
-                    new SendException(failureKind(), "the exchange failed: " + result.getFailure(), null));
+            answer.completeExceptionally(new SendException(
+                    failureKind(), "the exchange failed: " + result.getFailure(), result.getFailure()));
             return false;
         }
         Response response = result.getResponse();
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
@@ -5,11 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.sardinepost.core.retry.RetryBudget;
 import org.sardinepost.core.routing.Dispatcher;
 import org.sardinepost.core.routing.Upstream;
+import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.text.Service;
 import org.sardinepost.core.text.ServicesText;
 
@@ -29,11 +31,18 @@
     }
 
     /** Puts a text in force, with upstreams by service name beyond those that the text lists. */
-    public synchronized void apply(ServicesText text, Map<String, List<Upstream>> extraUpstreams) {
+    public void apply(ServicesText text, Map<String, List<Upstream>> extraUpstreams) {
+        apply(text, extraUpstreams, Set.of());
+    }
+
+    /** Puts a text in force without the upstreams that are leaving. */
+    public synchronized void apply(
+            ServicesText text, Map<String, List<Upstream>> extraUpstreams, Set<UpstreamId> leaving) {
         Map<String, RegisteredService> byName = new HashMap<>();
         Map<String, RegisteredService> byHost = new HashMap<>();
         for (Service service : text.services()) {
-            RegisteredService registered = register(service, extraUpstreams.getOrDefault(service.name(), List.of()));
+            RegisteredService registered =
+                    register(service, extraUpstreams.getOrDefault(service.name(), List.of()), leaving);
             byName.put(service.name(), registered);
             service.hosts().forEach(host -> byHost.put(HostName.normalized(host), registered));
         }
@@ -41,7 +50,7 @@
         snapshot = new Snapshot(Map.copyOf(byName), Map.copyOf(byHost));
     }
 
-    private RegisteredService register(Service service, List<Upstream> extra) {
+    private RegisteredService register(Service service, List<Upstream> extra, Set<UpstreamId> leaving) {
         Optional<RegisteredService> before = named(service.name());
         Dispatcher dispatcher = before.map(RegisteredService::dispatcher).orElseGet(() -> dispatchers.apply(service));
         RetryBudget retryBudget = before.filter(old -> sameShare(old.service(), service))
@@ -52,6 +61,7 @@
                 .filter(added ->
                         upstreams.stream().noneMatch(known -> known.id().equals(added.id())))
                 .forEach(upstreams::add);
+        upstreams.removeIf(upstream -> leaving.contains(upstream.id()));
         dispatcher.update(upstreams, nanoClock.getAsLong());
         return new RegisteredService(service, dispatcher, retryBudget);
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
@@ -12,9 +12,15 @@
 /** Sends held requests to upstreams and holds their whole answers. */
 public final class UpstreamClient {
     private final HttpClient client;
+    private final UpstreamObserver observer;
 
     public UpstreamClient(HttpClient client) {
+        this(client, UpstreamObserver.none());
+    }
+
+    public UpstreamClient(HttpClient client, UpstreamObserver observer) {
         this.client = client;
+        this.observer = observer;
     }
 
     /**
@@ -40,7 +46,7 @@
         AnswerCollector collector = new AnswerCollector(exchange, answerLimitBytes, reservation);
         exchange.onRequestListener(collector.requestListener());
         exchange.send(collector);
-        return collector.answer();
+        return collector.answer().whenComplete((answer, failure) -> observer.ended(upstream, answer, failure));
     }
 
     /** The client reads a target such as {@code //a/b} as authority and path; such a target must not be altered silently. */
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/Clock.java
@@ -0,0 +1,18 @@
+package org.sardinepost.daemon.control;
+
+import java.util.function.LongSupplier;
+
+/** The clocks of the process; tests replace them. */
+public record Clock(LongSupplier monotonicNanos, LongSupplier wallMillis) {
+    public static Clock system() {
+        return new Clock(System::nanoTime, System::currentTimeMillis);
+    }
+
+    public long nanos() {
+        return monotonicNanos.getAsLong();
+    }
+
+    public long millis() {
+        return wallMillis.getAsLong();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlParts.java
@@ -0,0 +1,24 @@
+package org.sardinepost.daemon.control;
+
+import java.util.function.Supplier;
+import org.sardinepost.peer.generated.Hello;
+import org.sardinepost.peer.generated.PeerMessage;
+
+/** The parts of the control side that peer messages concern. */
+record ControlParts(
+        ControlThread control,
+        PeerTable peers,
+        HeldIncarnations held,
+        Supplier<Hello> ownHello,
+        ConfigurationExchange exchange,
+        MembershipControl membership,
+        LoadReceiver loadReceiver,
+        HandoverSender handoverSender,
+        HandoverReceiver handoverReceiver,
+        StartControl start,
+        Revalidation revalidation) {
+    /** Tells the connected peers which incarnations this daemon holds now. */
+    void announceSelf() {
+        peers.sendToConnected(PeerMessage.newBuilder().setHello(ownHello.get()).build());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/Digests.java
@@ -0,0 +1,25 @@
+package org.sardinepost.daemon.control;
+
+import com.google.protobuf.ByteString;
+import java.util.Collection;
+import java.util.List;
+import org.sardinepost.core.configuration.TextDigest;
+
+/** Digests in peer messages. */
+final class Digests {
+    private Digests() {}
+
+    static TextDigest fromWire(ByteString digest) {
+        return TextDigest.fromBytes(digest.toByteArray());
+    }
+
+    static List<TextDigest> fromWire(Collection<ByteString> digests) {
+        return digests.stream().map(Digests::fromWire).toList();
+    }
+
+    static List<ByteString> toWire(Collection<TextDigest> digests) {
+        return digests.stream()
+                .map(digest -> ByteString.copyFrom(digest.bytes()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/LoadReceiver.java
@@ -0,0 +1,46 @@
+package org.sardinepost.daemon.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.peer.generated.LoadBatch;
+import org.sardinepost.peer.generated.ServiceLoad;
+import org.sardinepost.peer.generated.UpstreamLoad;
+
+/** Puts the batches of each peer together to its whole load. */
+final class LoadReceiver {
+    private final RoutingTarget target;
+    private final Map<Long, Map<String, Map<UpstreamId, Integer>>> byIncarnation = new HashMap<>();
+
+    LoadReceiver(RoutingTarget target) {
+        this.target = target;
+    }
+
+    void received(long incarnation, LoadBatch batch) {
+        Map<String, Map<UpstreamId, Integer>> loads =
+                byIncarnation.computeIfAbsent(incarnation, added -> new HashMap<>());
+        batch.getServicesList().stream()
+                .filter(service -> !service.getService().equals(LeavingMessages.NO_SERVICE))
+                .forEach(service ->
+                        apply(loads.computeIfAbsent(service.getService(), name -> new HashMap<>()), service));
+        loads.values().removeIf(Map::isEmpty);
+        target.peerLoads(incarnation, loads);
+    }
+
+    void gone(long incarnation) {
+        byIncarnation.remove(incarnation);
+        target.peerGone(incarnation);
+    }
+
+    private static void apply(Map<UpstreamId, Integer> loads, ServiceLoad service) {
+        for (UpstreamLoad load : service.getUpstreamsList()) {
+            UpstreamId.parse(load.getAddress()).ifPresent(upstream -> {
+                if (load.getInFlight() == 0) {
+                    loads.remove(upstream);
+                } else {
+                    loads.put(upstream, load.getInFlight());
+                }
+            });
+        }
+    }
+}
--- a/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
@@ -10,7 +10,29 @@
     STOPPED(4, "stopped after the last call"),
     CALL_FAULT(5, "fault while handling a call: {}"),
     TEXT_APPLIED(6, "services text version {} with {} services is in force"),
-    START_FAILED(7, "start failed: {}");
+    START_FAILED(7, "start failed: {}"),
+    CONFIGURATION_ACCEPTED(200, "services text version {} (platform revision {}) is in force, learned from {}"),
+    CONFIGURATION_REFUSED(201, "services text of revision {} is refused, version {} stays in force: {}"),
+    CONFIGURATION_CONFLICT(202, "{}"),
+    CONFIGURATION_SOURCE_DOWN(203, "the services text cannot be read from {}: {}; the version in force stays"),
+    CONFIGURATION_SOURCE_BACK(204, "the services text can be read from {} again"),
+    VM_LIST_SOURCE_DOWN(205, "the VM list cannot be read from {}: {}; the last list stays in use"),
+    VM_LIST_SOURCE_BACK(206, "the VM list can be read from {} again"),
+    VM_LIST_REFUSED(207, "the VM list of revision {} is refused, the last one stays in use: {}"),
+    UPSTREAM_LEAVING(208, "upstream {} is leaving, known by {}"),
+    UPSTREAM_RETURNED(209, "upstream {} gets new calls again"),
+    READY(210, "ready with services text version {} after asking the peers"),
+    READY_UNPROVEN(
+            211,
+            "ready with services text version {}, but no peer confirmed it in time; compare the versions of all daemons"),
+    PEER_CONNECTED(212, "connected to peer {} with incarnation {}"),
+    PEER_LOST(213, "the connection to peer {} ended"),
+    PEER_FAULT(214, "peer connection fault {}: {}"),
+    PROCESS_PAUSED(215, "the process was paused; new calls wait until its state is read again"),
+    HANDOVER_SENT(216, "token table of incarnation {} handed over to peer {}"),
+    HANDOVER_RECEIVED(217, "token table of incarnation {} taken over from peer {}"),
+    HANDOVER_FAILED(218, "token table of incarnation {} not handed over: {}"),
+    CONTROL_FAULT(219, "fault on the control thread: {}");
 
     private final int number;
     private final String message;
