--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -61,6 +61,7 @@
     private final PeerMessageHandler messages;
     private final Optional<SourceWatch> vmWatch;
     private volatile ControlStatus status = ControlStatus.initial();
+    private final Optional<UpstreamId> advertisedAddress;
     private volatile UpstreamId peerAddress;
     private Optional<PeerServer> server = Optional.empty();
 
@@ -68,7 +69,8 @@
         settings = builder.settings;
         incarnation = builder.incarnation;
         callerAddress = builder.callerAddress;
-        peerAddress = settings.peerAddress();
+        advertisedAddress = builder.advertisedAddress;
+        peerAddress = advertisedAddress.orElse(settings.peerAddress());
         target = builder.target;
         clock = builder.clock;
         random = builder.random;
@@ -117,7 +119,8 @@
         client.start();
         PeerServer listening = transport.listen(settings.peerAddress());
         server = Optional.of(listening);
-        peerAddress = new UpstreamId(settings.peerAddress().host(), listening.port());
+        peerAddress = advertisedAddress.orElseGet(
+                () -> new UpstreamId(settings.peerAddress().host(), listening.port()));
         control.execute(() -> {
             peers.name(settings.peers());
             source(settings.configuration())
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlaneBuilder.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlaneBuilder.java
@@ -31,6 +31,7 @@
     RoutingTarget target;
     HandoverReceiver handoverReceiver = ControlPlaneBuilder::refuseHandover;
     Supplier<UpstreamId> callerAddress;
+    Optional<UpstreamId> advertisedAddress = Optional.empty();
     Clock clock = Clock.system();
     DoubleSupplier random;
     LongSupplier randomLong;
@@ -74,6 +75,12 @@
         return this;
     }
 
+    /** The peer address that peers are told instead of the one that is opened, for example of a relay in a test. */
+    ControlPlaneBuilder advertisedAddress(UpstreamId value) {
+        this.advertisedAddress = Optional.of(value);
+        return this;
+    }
+
     public ControlPlaneBuilder clock(Clock value) {
         this.clock = value;
         return this;
--- /dev/null
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/RecordingTarget.java
@@ -0,0 +1,40 @@
+package org.sardinepost.daemon.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sardinepost.core.routing.Upstream;
+import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.core.text.ServicesText;
+
+/** Records what the control side told the caller side. */
+final class RecordingTarget implements RoutingTarget {
+    volatile long version;
+    volatile Map<String, List<Upstream>> upstreams = Map.of();
+    volatile Set<UpstreamId> leaving = Set.of();
+    volatile Map<String, Map<UpstreamId, OwnUpstreamLoad>> ownLoads = Map.of();
+    final Map<Long, Map<String, Map<UpstreamId, Integer>>> peerLoads = new ConcurrentHashMap<>();
+
+    @Override
+    public void apply(ServicesText text, Map<String, List<Upstream>> extraUpstreams, Set<UpstreamId> leavingNow) {
+        version = text.version();
+        upstreams = extraUpstreams;
+        leaving = leavingNow;
+    }
+
+    @Override
+    public Map<String, Map<UpstreamId, OwnUpstreamLoad>> ownLoads() {
+        return ownLoads;
+    }
+
+    @Override
+    public void peerLoads(long incarnation, Map<String, Map<UpstreamId, Integer>> inFlight) {
+        peerLoads.put(incarnation, Map.copyOf(inFlight));
+    }
+
+    @Override
+    public void peerGone(long incarnation) {
+        peerLoads.remove(incarnation);
+    }
+}
