--- a/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
@@ -11,6 +11,7 @@
     CALL_FAULT(5, "fault while handling a call: {}"),
     TEXT_APPLIED(6, "services text version {} with {} services is in force"),
     START_FAILED(7, "start failed: {}"),
+    STOP_FAILED(8, "planned stop failed: {}"),
     CONFIGURATION_ACCEPTED(200, "services text version {} (platform revision {}) is in force, learned from {}"),
     CONFIGURATION_REFUSED(201, "services text of revision {} is refused, version {} stays in force: {}"),
     CONFIGURATION_CONFLICT(202, "{}"),
