--- a/bench/src/main/java/org/sardinepost/bench/BenchMain.java
+++ b/bench/src/main/java/org/sardinepost/bench/BenchMain.java
@@ -1,10 +1,19 @@
 package org.sardinepost.bench;
 
+import org.sardinepost.bench.policies.PoliciesCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
 /** Entry point of the bench program. */
+@Command(
+        name = "bench",
+        mixinStandardHelpOptions = true,
+        description = "Measures the decision code.",
+        subcommands = PoliciesCommand.class)
 public final class BenchMain {
     private BenchMain() {}
 
     public static void main(String[] args) {
-        System.exit(2);
+        System.exit(new CommandLine(new BenchMain()).execute(args));
     }
 }
--- a/core/src/main/java/org/sardinepost/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/sardinepost/core/retry/RetryBudget.java
@@ -3,9 +3,10 @@
 /**
  * Limits the retries of one service to a share of its calls.
  *
- * <p>Each call earns the share and each retry costs one. Balance that was earned more than ten seconds ago is lost, so
- * that a long quiet period can't pay for a burst of retries during an outage. Nothing is granted in advance: the number of
- * retries never exceeds the share of the calls recorded so far.
+ * <p>Each call earns the share and each retry costs one. Of the balance that was earned more than ten seconds ago only a few
+ * retries remain, so that a long quiet period can't pay for a burst of retries during an outage. These few let a service
+ * with little traffic retry when an upstream leaves. Nothing is granted in advance: the number of retries never exceeds the
+ * share of the calls recorded so far.
  */
 public final class RetryBudget {
     private static final long BUCKET_NANOS = 1_000_000_000L;
@@ -13,8 +14,11 @@
     /** Balances are counted in millionths of a retry, since sums of fractions such as 0.1 are not exact. */
     private static final long RETRY_MICROS = 1_000_000L;
 
+    private static final long RESERVE_MICROS = 3 * RETRY_MICROS;
+
     private final long shareMicros;
     private final long[] earnedMicros = new long[BUCKETS];
+    private long reserveMicros;
     private long currentBucket = Long.MIN_VALUE;
 
     /** @param share retries allowed per call, for example 0.1 */
@@ -48,13 +52,15 @@
         }
         long expired = Math.min(bucket - currentBucket, BUCKETS);
         for (long i = 1; i <= expired; i++) {
-            earnedMicros[index(currentBucket + i)] = 0;
+            int index = index(currentBucket + i);
+            reserveMicros = Math.min(RESERVE_MICROS, reserveMicros + earnedMicros[index]);
+            earnedMicros[index] = 0;
         }
         currentBucket = Math.max(currentBucket, bucket);
     }
 
     private long balanceMicros() {
-        long sum = 0;
+        long sum = reserveMicros;
         for (long earned : earnedMicros) {
             sum += earned;
         }
@@ -62,7 +68,9 @@
     }
 
     private void spendOldestFirst() {
-        long open = RETRY_MICROS;
+        long fromReserve = Math.min(RETRY_MICROS, reserveMicros);
+        reserveMicros -= fromReserve;
+        long open = RETRY_MICROS - fromReserve;
         for (int age = BUCKETS - 1; open > 0; age--) {
             int i = index(currentBucket - age);
             long taken = Math.min(open, earnedMicros[i]);
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/routing/JointDispatcher.java
@@ -0,0 +1,16 @@
+package org.sardinepost.core.routing;
+
+import java.util.List;
+import java.util.Map;
+
+/** A dispatcher that also takes the loads of other daemons into account. */
+public interface JointDispatcher extends Dispatcher {
+    /** Replaces what is known of one peer's calls in progress. Upstreams that are not in the map have none. */
+    void peerLoads(long peerIncarnation, Map<UpstreamId, Integer> inFlight, long nowNanos);
+
+    /** Forgets the loads of a peer that stopped or whose connection was lost. */
+    void peerGone(long peerIncarnation);
+
+    /** This daemon's loads on the upstreams that have calls in progress or recent failures. */
+    List<OwnLoad> ownLoads();
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
@@ -0,0 +1,361 @@
+package org.sardinepost.core.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.sardinepost.core.admission.ConcurrencyWindow;
+import org.sardinepost.core.admission.ServiceRate;
+import org.sardinepost.core.admission.WaitingCall;
+import org.sardinepost.core.admission.WaitingCalls;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RefusedException;
+
+/**
+ * Assigns calls by own calls in progress, the load carried on answers and the loads of peers.
+ *
+ * <p>Calls for which no upstream has a place wait, deeper ones first. Futures complete outside the lock, so that callbacks
+ * may call the dispatcher again.
+ */
+public final class JointLoadDispatcher implements JointDispatcher {
+    private final DispatcherSettings settings;
+    private final UpstreamChooser chooser;
+    private final ServiceLoad service = new ServiceLoad();
+    private final PeerLoads peers = new PeerLoads();
+    private final ConcurrencyWindow window = new ConcurrencyWindow();
+    private final ServiceRate rate = new ServiceRate();
+    private final WaitingCalls waiting;
+    private final HealthChecks health;
+    private final Map<UpstreamId, UpstreamState> states = new LinkedHashMap<>();
+    private boolean updated;
+    private int inFlight;
+
+    public JointLoadDispatcher(DispatcherSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.chooser = new UpstreamChooser(random);
+        this.waiting = new WaitingCalls(settings.waitingBytes());
+        this.health = new HealthChecks(service);
+    }
+
+    @Override
+    public CompletableFuture<Dispatch> acquire(DispatchRequest request, long nowNanos) {
+        CompletableFuture<Dispatch> future = new CompletableFuture<>();
+        WaitingCall call = new WaitingCall(request, future);
+        synchronized (this) {
+            if (!mustWait(request)) {
+                UpstreamState state = choose(request, nowNanos);
+                if (state != null) {
+                    return CompletableFuture.completedFuture(take(state, nowNanos));
+                }
+            }
+            RefusedException refusal = enqueue(call, nowNanos);
+            if (refusal != null) {
+                return CompletableFuture.failedFuture(refusal);
+            }
+        }
+        var unused = future.whenComplete((dispatch, failure) -> forgetCancelled(call));
+        return future;
+    }
+
+    private boolean mustWait(DispatchRequest request) {
+        return !window.allows(inFlight) || waiting.ahead(request.depth()) > 0;
+    }
+
+    private UpstreamState choose(DispatchRequest request, long nowNanos) {
+        if (health.ejected() > 0 && request.excluded().isEmpty()) {
+            UpstreamState trial = chooser.trial(nowNanos);
+            if (trial != null) {
+                return trial;
+            }
+        }
+        return chooser.choose(request.excluded(), service, nowNanos);
+    }
+
+    private Place take(UpstreamState state, long nowNanos) {
+        state.inFlight++;
+        inFlight++;
+        boolean trial = state.health.trialDue(nowNanos);
+        if (trial) {
+            state.health.trialStarted();
+        }
+        return new Place(state, trial, nowNanos);
+    }
+
+    private RefusedException enqueue(WaitingCall call, long nowNanos) {
+        if (health.usable() == 0) {
+            return noUpstream();
+        }
+        DispatchRequest request = call.request();
+        int ahead = waiting.ahead(request.depth());
+        long leftNanos = request.deadlineNanos() - nowNanos;
+        if (leftNanos <= 0 || rate.waitNanos(ahead + 1) > leftNanos) {
+            return new RefusedException(
+                    RefusalReason.DEADLINE_TOO_SHORT,
+                    ahead + " calls wait and " + leftNanos / 1_000_000 + " ms are left");
+        }
+        if (!waiting.offer(call)) {
+            return new RefusedException(RefusalReason.QUEUE_FULL, "waiting calls hold " + waiting.bytes() + " bytes");
+        }
+        return null;
+    }
+
+    private void forgetCancelled(WaitingCall call) {
+        if (call.future().isCancelled()) {
+            synchronized (this) {
+                waiting.remove(call);
+            }
+        }
+    }
+
+    @Override
+    public void expire(long nowNanos) {
+        Completions completions = new Completions();
+        synchronized (this) {
+            peers.removeSilent(states, nowNanos);
+            updatePeerAverages();
+            completions.expired(waiting.removeExpired(nowNanos));
+            admitWaiting(completions, nowNanos);
+        }
+        completions.run(nowNanos);
+    }
+
+    @Override
+    public void update(List<Upstream> upstreams, long nowNanos) {
+        Completions completions = new Completions();
+        synchronized (this) {
+            List<UpstreamId> ids = upstreams.stream().map(Upstream::id).toList();
+            states.values().stream().filter(state -> !ids.contains(state.id())).forEach(state -> {
+                state.removed = true;
+                health.retire(state);
+            });
+            states.keySet().retainAll(ids);
+            upstreams.forEach(upstream -> states.computeIfAbsent(upstream.id(), id -> add(upstream, nowNanos)));
+            updated = true;
+            membersChanged();
+            admitWaiting(completions, nowNanos);
+        }
+        completions.run(nowNanos);
+    }
+
+    private UpstreamState add(Upstream upstream, long nowNanos) {
+        UpstreamState state = new UpstreamState(upstream, settings);
+        peers.applyTo(state);
+        if (updated) {
+            state.health.startSlowly(nowNanos);
+        }
+        return state;
+    }
+
+    private void membersChanged() {
+        List<UpstreamState> usable =
+                states.values().stream().filter(UpstreamState::usable).toList();
+        chooser.setStates(usable.toArray(UpstreamState[]::new));
+        health.setUsable(usable);
+        window.setMax(usable.stream().mapToInt(UpstreamState::limit).sum());
+        updatePeerAverages();
+    }
+
+    @Override
+    public void markLeaving(UpstreamId upstream, long nowNanos) {
+        Completions completions = new Completions();
+        synchronized (this) {
+            UpstreamState state = states.get(upstream);
+            if (state != null) {
+                leave(state);
+                admitWaiting(completions, nowNanos);
+            }
+        }
+        completions.run(nowNanos);
+    }
+
+    private void leave(UpstreamState state) {
+        if (state.usable()) {
+            state.leaving = true;
+            health.retire(state);
+            membersChanged();
+        }
+    }
+
+    @Override
+    public synchronized void peerLoads(long peerIncarnation, Map<UpstreamId, Integer> peerInFlight, long nowNanos) {
+        peers.put(peerIncarnation, peerInFlight, states, nowNanos);
+        updatePeerAverages();
+    }
+
+    @Override
+    public synchronized void peerGone(long peerIncarnation) {
+        peers.remove(peerIncarnation, states);
+        updatePeerAverages();
+    }
+
+    private void updatePeerAverages() {
+        long sum = 0;
+        for (UpstreamState state : states.values()) {
+            sum += state.load.peerSum();
+        }
+        service.setPeers((double) sum / Math.max(1, states.size()), peers.ageNanos());
+    }
+
+    @Override
+    public synchronized List<OwnLoad> ownLoads() {
+        return states.values().stream()
+                .filter(state -> state.inFlight > 0 || state.failuresInARow > 0)
+                .map(state -> new OwnLoad(state.id(), state.inFlight, state.failuresInARow))
+                .toList();
+    }
+
+    private void admitWaiting(Completions completions, long nowNanos) {
+        if (health.usable() == 0) {
+            refuseAll(completions);
+            return;
+        }
+        WaitingCall call = waiting.peek();
+        while (call != null && window.allows(inFlight)) {
+            UpstreamState state = null;
+            if (call.request().deadlineNanos() - nowNanos > 0) {
+                state = choose(call.request(), nowNanos);
+                if (state == null) {
+                    return;
+                }
+            }
+            waiting.remove(call);
+            if (state == null) {
+                completions.expired(List.of(call));
+            } else {
+                completions.granted(call, take(state, nowNanos));
+            }
+            call = waiting.peek();
+        }
+    }
+
+    private void refuseAll(Completions completions) {
+        for (WaitingCall call = waiting.peek(); call != null; call = waiting.peek()) {
+            waiting.remove(call);
+            completions.refused(call, noUpstream());
+        }
+    }
+
+    private static RefusedException noUpstream() {
+        return new RefusedException(
+                RefusalReason.NO_UPSTREAM, "every upstream of the service is leaving or none exists");
+    }
+
+    private void release(Place place, DispatchResult result, long nowNanos) {
+        Completions completions = new Completions();
+        synchronized (this) {
+            UpstreamState state = place.state;
+            if (state.usable()) {
+                recordLoad(state, result, nowNanos);
+                health.record(state, result.kind(), place.trial, nowNanos - place.startNanos, nowNanos);
+            }
+            state.inFlight--;
+            inFlight--;
+            recordRate(result.kind(), nowNanos);
+            if (result.leaving()) {
+                leave(state);
+            }
+            admitWaiting(completions, nowNanos);
+        }
+        completions.run(nowNanos);
+    }
+
+    private void recordLoad(UpstreamState state, DispatchResult result, long nowNanos) {
+        if (result.load().isEmpty()) {
+            return;
+        }
+        ReportedLoad load = result.load().get();
+        if (load.slots() != state.slots) {
+            state.slots = load.slots();
+            window.setMax(
+                    states.values().stream().mapToInt(UpstreamState::limit).sum());
+        }
+        boolean refused = result.kind() == DispatchResult.Kind.REFUSED;
+        int own = refused ? state.inFlight - 1 : state.inFlight;
+        int others = Math.max(0, load.inFlight() - own);
+        service.observeOthers(others);
+        if (refused) {
+            state.load.refused(others, nowNanos);
+        } else {
+            state.load.answered(others, nowNanos);
+        }
+    }
+
+    private void recordRate(DispatchResult.Kind kind, long nowNanos) {
+        if (kind == DispatchResult.Kind.REFUSED) {
+            window.refused(nowNanos, service.latencyNanos());
+            return;
+        }
+        rate.ended(nowNanos, waiting.size() > 0);
+        if (kind == DispatchResult.Kind.ANSWERED) {
+            window.answered(inFlight + 1);
+        }
+    }
+
+    private final class Place implements Dispatch {
+        private final UpstreamState state;
+        private final boolean trial;
+        private final long startNanos;
+        private boolean released;
+
+        Place(UpstreamState state, boolean trial, long startNanos) {
+            this.state = state;
+            this.trial = trial;
+            this.startNanos = startNanos;
+        }
+
+        @Override
+        public UpstreamId upstream() {
+            return state.id();
+        }
+
+        @Override
+        public void finished(DispatchResult result, long nowNanos) {
+            synchronized (JointLoadDispatcher.this) {
+                if (released) {
+                    return;
+                }
+                released = true;
+            }
+            release(this, result, nowNanos);
+        }
+    }
+
+    /** Futures to complete after the lock is released. */
+    private static final class Completions {
+        private final List<WaitingCall> grantedCalls = new ArrayList<>(0);
+        private final List<Place> places = new ArrayList<>(0);
+        private final List<WaitingCall> refusedCalls = new ArrayList<>(0);
+        private final List<RefusedException> refusals = new ArrayList<>(0);
+
+        void granted(WaitingCall call, Place place) {
+            grantedCalls.add(call);
+            places.add(place);
+        }
+
+        void refused(WaitingCall call, RefusedException refusal) {
+            refusedCalls.add(call);
+            refusals.add(refusal);
+        }
+
+        void expired(List<WaitingCall> calls) {
+            calls.forEach(call -> refused(
+                    call,
+                    new RefusedException(
+                            RefusalReason.DEADLINE_TOO_SHORT, "the deadline passed while the call waited")));
+        }
+
+        void run(long nowNanos) {
+            for (int i = 0; i < grantedCalls.size(); i++) {
+                Place place = places.get(i);
+                if (!grantedCalls.get(i).future().complete(place)) {
+                    place.finished(DispatchResult.of(DispatchResult.Kind.CANCELLED), nowNanos);
+                }
+            }
+            for (int i = 0; i < refusedCalls.size(); i++) {
+                refusedCalls.get(i).future().completeExceptionally(refusals.get(i));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinepost/core/routing/UpstreamState.java
@@ -0,0 +1,50 @@
+package org.sardinepost.core.routing;
+
+/** What one dispatcher knows of one upstream. Guarded by the dispatcher's lock. */
+final class UpstreamState {
+    private final Upstream upstream;
+    private final boolean local;
+    final LoadEstimate load = new LoadEstimate();
+    final LogLatency latency = new LogLatency();
+    final Health health = new Health();
+    int slots;
+    int inFlight;
+    int failuresInARow;
+    double failureShare;
+    double slowness = 1;
+    boolean leaving;
+    boolean removed;
+
+    UpstreamState(Upstream upstream, DispatcherSettings settings) {
+        this.upstream = upstream;
+        this.local = upstream.failureDomain().equals(settings.failureDomain());
+        this.slots = settings.slots();
+    }
+
+    UpstreamId id() {
+        return upstream.id();
+    }
+
+    Upstream upstream() {
+        return upstream;
+    }
+
+    /** Whether the upstream is in this daemon's failure domain. */
+    boolean local() {
+        return local;
+    }
+
+    /** Whether the upstream may get new calls at all. */
+    boolean usable() {
+        return !leaving && !removed;
+    }
+
+    /** The calls that this daemon keeps on the upstream: its slots and a queue that hides the network delay. */
+    int limit() {
+        return slots + Math.max(1, slots / 2);
+    }
+
+    boolean full() {
+        return inFlight >= limit();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/routing/JointLoadDispatcherTest.java
@@ -0,0 +1,249 @@
+package org.sardinepost.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RefusedException;
+import org.sardinepost.core.routing.DispatchResult.Kind;
+
+/** Guards against lost calls, overloaded upstreams and calls to upstreams that fail, straggle or leave. */
+class JointLoadDispatcherTest {
+    private static final long MILLI_NANOS = 1_000_000;
+    private static final long SECOND_NANOS = 1_000 * MILLI_NANOS;
+    private static final int SLOTS = 2;
+    private static final int LIMIT = 3;
+
+    private final JointLoadDispatcher dispatcher =
+            new JointLoadDispatcher(new DispatcherSettings(SLOTS, "a", 10_000), new SplittableRandom(1));
+    private long now;
+
+    private static List<Upstream> upstreams(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> new Upstream(id(i), i % 2 == 0 ? "a" : "b"))
+                .toList();
+    }
+
+    private static UpstreamId id(int index) {
+        return new UpstreamId("10.0.0.1", 7001 + index);
+    }
+
+    private CompletableFuture<Dispatch> acquire(int depth, UpstreamId... excluded) {
+        return dispatcher.acquire(new DispatchRequest(now + SECOND_NANOS, depth, 0, Set.of(excluded)), now);
+    }
+
+    private void finish(Dispatch dispatch, Kind kind) {
+        dispatch.finished(DispatchResult.of(kind), now);
+    }
+
+    /** Runs calls one after the other and counts those that went to upstream 0, which ends them with a given result. */
+    private int callsToFirst(int calls, Kind kindOfFirst, long nanosOfFirst) {
+        int toFirst = 0;
+        for (int i = 0; i < calls; i++) {
+            Dispatch dispatch = acquire(0).join();
+            boolean first = dispatch.upstream().equals(id(0));
+            toFirst += first ? 1 : 0;
+            now += first ? nanosOfFirst : MILLI_NANOS;
+            finish(dispatch, first ? kindOfFirst : Kind.ANSWERED);
+        }
+        return toFirst;
+    }
+
+    private static RefusalReason reason(CompletableFuture<Dispatch> future) {
+        assertThat(future.isDone()).isTrue();
+        CompletionException failure = assertThrows(CompletionException.class, future::join);
+        return ((RefusedException) failure.getCause()).reason();
+    }
+
+    @Nested
+    class Waiting {
+        @Test
+        void callAboveEveryLimitGetsTheNextFreePlace() {
+            dispatcher.update(upstreams(1), now);
+            List<Dispatch> held =
+                    IntStream.range(0, LIMIT).mapToObj(i -> acquire(0).join()).toList();
+            CompletableFuture<Dispatch> waiting = acquire(0);
+            assertThat(waiting.isDone()).isFalse();
+            finish(held.get(0), Kind.ANSWERED);
+            assertThat(waiting.isDone()).isTrue();
+        }
+
+        @Test
+        void deeperCallLeavesFirst() {
+            dispatcher.update(upstreams(1), now);
+            List<Dispatch> held =
+                    IntStream.range(0, LIMIT).mapToObj(i -> acquire(0).join()).toList();
+            CompletableFuture<Dispatch> edge = acquire(0);
+            CompletableFuture<Dispatch> deep = acquire(5);
+            finish(held.get(0), Kind.ANSWERED);
+            assertThat(deep.isDone()).isTrue();
+            assertThat(edge.isDone()).isFalse();
+        }
+
+        @Test
+        void cancelledCallFreesItsBytes() {
+            dispatcher.update(upstreams(1), now);
+            IntStream.range(0, LIMIT).forEach(i -> acquire(0).join());
+            acquire(0).cancel(false);
+            acquire(0).cancel(false);
+            acquire(0).cancel(false);
+            assertThat(acquire(0).isCompletedExceptionally()).isFalse();
+        }
+
+        @Test
+        void secondReportOfAResultFreesNothing() {
+            dispatcher.update(upstreams(1), now);
+            List<Dispatch> held =
+                    IntStream.range(0, LIMIT).mapToObj(i -> acquire(0).join()).toList();
+            finish(held.get(0), Kind.ANSWERED);
+            finish(held.get(0), Kind.ANSWERED);
+            acquire(0).join();
+            assertThat(acquire(0).isDone()).isFalse();
+        }
+    }
+
+    @Nested
+    class Refuses {
+        @Test
+        void withoutUpstreams() {
+            assertThat(reason(acquire(0))).isEqualTo(RefusalReason.NO_UPSTREAM);
+        }
+
+        @Test
+        void aboveTheByteBound() {
+            dispatcher.update(upstreams(1), now);
+            IntStream.range(0, LIMIT + 2).forEach(i -> acquire(0).isDone());
+            assertThat(reason(acquire(0))).isEqualTo(RefusalReason.QUEUE_FULL);
+        }
+
+        @Test
+        void waitingCallWhoseDeadlinePasses() {
+            dispatcher.update(upstreams(1), now);
+            IntStream.range(0, LIMIT).forEach(i -> acquire(0).join());
+            CompletableFuture<Dispatch> waiting = acquire(0);
+            dispatcher.expire(now + SECOND_NANOS);
+            assertThat(reason(waiting)).isEqualTo(RefusalReason.DEADLINE_TOO_SHORT);
+        }
+
+        @Test
+        void earlyWhenTheQueueIsLongerThanTheDeadline() {
+            dispatcher.update(upstreams(1), now);
+            List<Dispatch> held = new ArrayList<>();
+            IntStream.range(0, LIMIT).forEach(i -> held.add(acquire(0).join()));
+            for (int i = 0; i < 30; i++) {
+                CompletableFuture<Dispatch> next = acquire(0);
+                now += 100 * MILLI_NANOS;
+                finish(held.remove(0), Kind.ANSWERED);
+                held.add(next.getNow(null));
+            }
+            DispatchRequest hasty = new DispatchRequest(now + 50 * MILLI_NANOS, 0, 0, Set.of());
+            assertThat(reason(dispatcher.acquire(hasty, now))).isEqualTo(RefusalReason.DEADLINE_TOO_SHORT);
+        }
+
+        @Test
+        void waitingCallsWhenTheLastUpstreamLeaves() {
+            dispatcher.update(upstreams(1), now);
+            IntStream.range(0, LIMIT).forEach(i -> acquire(0).join());
+            CompletableFuture<Dispatch> waiting = acquire(0);
+            dispatcher.markLeaving(id(0), now);
+            assertThat(reason(waiting)).isEqualTo(RefusalReason.NO_UPSTREAM);
+        }
+    }
+
+    @Nested
+    class Avoids {
+        @Test
+        void excludedUpstreamWhileAnotherIsLeft() {
+            dispatcher.update(upstreams(2), now);
+            for (int i = 0; i < LIMIT; i++) {
+                assertThat(acquire(0, id(0)).join().upstream()).isEqualTo(id(1));
+            }
+        }
+
+        @Test
+        void leavingUpstreamEvenIfTheListStillHasIt() {
+            dispatcher.update(upstreams(2), now);
+            Dispatch dispatch = acquire(0).join();
+            dispatch.finished(new DispatchResult(Kind.ANSWERED, Optional.empty(), true), now);
+            dispatcher.update(upstreams(2), now);
+            for (int i = 0; i < LIMIT; i++) {
+                assertThat(acquire(0).join().upstream()).isNotEqualTo(dispatch.upstream());
+            }
+        }
+
+        @Test
+        void upstreamThatFailsEveryCallQuickly() {
+            dispatcher.update(upstreams(4), now);
+            assertThat(callsToFirst(1000, Kind.FAILED, 0)).isAtMost(1);
+        }
+
+        @Test
+        void straggler() {
+            dispatcher.update(upstreams(4), now);
+            assertThat(callsToFirst(500, Kind.ANSWERED, 5 * MILLI_NANOS)).isAtMost(20);
+        }
+
+        @Test
+        void upstreamWithTheCallsOfPeers() {
+            dispatcher.update(upstreams(4), now);
+            dispatcher.peerLoads(1, Map.of(id(0), 9, id(2), 9), now);
+            for (int i = 0; i < 2; i++) {
+                assertThat(acquire(0).join().upstream()).isAnyOf(id(1), id(3));
+            }
+        }
+
+        @Test
+        void upstreamThatRefused() {
+            dispatcher.update(upstreams(2), now);
+            Dispatch refused = acquire(0).join();
+            refused.finished(new DispatchResult(Kind.REFUSED, Optional.of(new ReportedLoad(4, SLOTS)), false), now);
+            assertThat(acquire(0).join().upstream()).isNotEqualTo(refused.upstream());
+        }
+    }
+
+    @Nested
+    class Keeps {
+        @Test
+        void halfOfTheUpstreamsWhenAllFail() {
+            dispatcher.update(upstreams(4), now);
+            for (int i = 0; i < 200; i++) {
+                finish(acquire(0).join(), Kind.FAILED);
+            }
+            List<UpstreamId> used = IntStream.range(0, 4)
+                    .mapToObj(i -> acquire(0).join().upstream())
+                    .distinct()
+                    .toList();
+            assertThat(used.size()).isAtLeast(2);
+        }
+
+        @Test
+        void loadsOfSilentPeersOnlyForASecond() {
+            dispatcher.update(upstreams(2), now);
+            dispatcher.peerLoads(1, Map.of(id(0), 9), now);
+            dispatcher.expire(now + 2 * SECOND_NANOS);
+            assertThat(acquire(0).join().upstream()).isEqualTo(id(0));
+        }
+    }
+
+    @Nested
+    class Returns {
+        @Test
+        void recoveredUpstreamThroughTrials() {
+            dispatcher.update(upstreams(4), now);
+            callsToFirst(20, Kind.FAILED, 0);
+            now += 2 * SECOND_NANOS;
+            assertThat(callsToFirst(20_000, Kind.ANSWERED, MILLI_NANOS)).isAtLeast(1000);
+        }
+    }
+}
