--- a/daemon/src/main/java/org/sardinepost/daemon/token/DaemonTokens.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/DaemonTokens.java
@@ -13,6 +13,8 @@
 import org.sardinepost.core.token.TokenTableLimits;
 import org.sardinepost.core.token.TokenTableUsage;
 import org.sardinepost.daemon.call.RequestGuard;
+import org.sardinepost.daemon.control.HandoverTransport;
+import org.sardinepost.daemon.control.PeerDirectory;
 
 /** The tokens of one daemon: its incarnation, table, guard and hand-over. */
 public final class DaemonTokens {
@@ -22,7 +24,7 @@
     private final TokenTable table;
     private final LongSupplier nanoClock;
     private final TokenGuard guard;
-    private volatile IssuerDirectory directory = incarnation -> Optional.empty();
+    private volatile PeerDirectory directory = incarnation -> Optional.empty();
 
     private DaemonTokens(TokenIssuer issuer, TokenTableLimits limits, LongSupplier nanoClock) {
         this.incarnation = issuer.incarnation();
@@ -49,7 +51,7 @@
     }
 
     /** Sets where the holders of other incarnations' tokens are found; without it no request is forwarded. */
-    public void useDirectory(IssuerDirectory value) {
+    public void useDirectory(PeerDirectory value) {
         this.directory = value;
     }
 
@@ -67,7 +69,7 @@
     }
 
     /** Hands all tokens over; to be called at the planned stop after the last call. */
-    public CompletableFuture<Void> handOver(TokenHandover.Transport transport) {
+    public CompletableFuture<Void> handOver(HandoverTransport transport) {
         return new TokenHandover(table, nanoClock, transport).run();
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/token/IssuerForwarder.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/IssuerForwarder.java
@@ -9,6 +9,7 @@
 import org.sardinepost.daemon.call.Call;
 import org.sardinepost.daemon.call.CallDispatch;
 import org.sardinepost.daemon.call.HeldAnswer;
+import org.sardinepost.daemon.control.PeerDirectory;
 
 /**
  * Forwards a request to the daemon that answers for its token.
@@ -16,9 +17,9 @@
  * <p>Whatever prevents the forward, the outcome is unknown: an earlier send of the request may have run.
  */
 final class IssuerForwarder {
-    private final IssuerDirectory directory;
+    private final PeerDirectory directory;
 
-    IssuerForwarder(IssuerDirectory directory) {
+    IssuerForwarder(PeerDirectory directory) {
         this.directory = directory;
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
@@ -17,6 +17,7 @@
 import org.sardinepost.daemon.call.HeldAnswer;
 import org.sardinepost.daemon.call.HeldRequest;
 import org.sardinepost.daemon.call.RequestGuard;
+import org.sardinepost.daemon.control.PeerDirectory;
 
 /** Lets a non-idempotent request run at most once. */
 public final class TokenGuard implements RequestGuard {
@@ -28,7 +29,7 @@
     private final FreshTokens freshTokens;
     private final IssuerForwarder forwarder;
 
-    public TokenGuard(TokenTable table, LongSupplier nanoClock, IssuerDirectory directory) {
+    public TokenGuard(TokenTable table, LongSupplier nanoClock, PeerDirectory directory) {
         this.table = table;
         this.nanoClock = nanoClock;
         this.freshTokens = new FreshTokens(table, nanoClock);
--- a/daemon/src/main/java/org/sardinepost/daemon/token/TokenHandover.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/TokenHandover.java
@@ -4,26 +4,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.sardinepost.core.token.TokenTable;
+import org.sardinepost.daemon.control.HandoverTransport;
 
 /** Hands all held tokens over at the planned stop. */
 public final class TokenHandover {
-    /** Sends the image of one incarnation; completes when a peer has adopted it. */
-    @FunctionalInterface
-    public interface Transport {
-        /**
-         * Sends the frames in order.
-         *
-         * <p>A repeat after a lost acknowledgement goes only to the same incarnation of the same peer. Another receiver,
-         * even a new daemon at the same address, could dispatch a request that the first one has dispatched.
-         */
-        CompletableFuture<Void> send(long incarnation, List<byte[]> frames);
-    }
-
     private final TokenTable table;
     private final LongSupplier nanoClock;
-    private final Transport transport;
+    private final HandoverTransport transport;
 
-    public TokenHandover(TokenTable table, LongSupplier nanoClock, Transport transport) {
+    public TokenHandover(TokenTable table, LongSupplier nanoClock, HandoverTransport transport) {
         this.table = table;
         this.nanoClock = nanoClock;
         this.transport = transport;
