Return the send future itself from UpstreamClient

That stage wraps failures in CompletionException, so each lost send was taken for a fault of the daemon, was not retried and lost its reason; and cancelling it did not abort the exchange. Conclusion: observers hang on the future beside the caller, never between.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
@@ -46,7 +46,10 @@
         AnswerCollector collector = new AnswerCollector(exchange, answerLimitBytes, reservation);
         exchange.onRequestListener(collector.requestListener());
         exchange.send(collector);
-        return collector.answer().whenComplete((answer, failure) -> observer.ended(upstream, answer, failure));
+        CompletableFuture<HeldAnswer> answer = collector.answer();
+        // The caller gets this future itself: a derived one would wrap failures, and its cancellation aborts nothing.
+        var unused = answer.whenComplete((held, failure) -> observer.ended(upstream, held, failure));
+        return answer;
     }
 
     /** The client reads a target such as {@code //a/b} as authority and path; such a target must not be altered silently. */
