--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -5,10 +5,10 @@
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sardinepost.core.settings.DaemonSettings;
+import org.sardinepost.daemon.http.StrictHttpConnectionFactory;
 
 /** Creates the HTTP server of the caller address: HTTP/1.1 and h2c on one port. */
 final class CallerServerFactory {
@@ -26,7 +26,11 @@
         Server server = new Server(threads);
         HttpConfiguration http = configuration(settings);
         CallerConnector connector = new CallerConnector(
-                server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(http), new HTTP2CServerConnectionFactory(http));
+                server,
+                ACCEPTORS,
+                SELECTORS,
+                new StrictHttpConnectionFactory(http),
+                new HTTP2CServerConnectionFactory(http));
         connector.setHost(settings.callerAddress().host());
         connector.setPort(settings.callerAddress().port());
         server.addConnector(connector);
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP parsing that is stricter than the library's. */
+package org.sardinepost.daemon.http;
--- a/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
@@ -28,6 +28,20 @@
         }
     }
 
+    @Test
+    void joinsTheChunksOfABody() throws Exception {
+        try (TestUpstream upstream = new TestUpstream(
+                        (request, body, response, callback) -> Content.Sink.write(response, true, body, callback));
+                Daemon daemon = TestDaemon.start(TestDaemon.settings(), catalogue(upstream))) {
+            String chunks = "3;note=\"a\"\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\nTrailer: x\r\n\r\n";
+            String answer = RawCaller.exchange(
+                    daemon.callerPort(),
+                    RawCaller.request("POST / HTTP/1.1", "Host: catalogue", "Transfer-Encoding: chunked") + chunks);
+
+            assertThat(answer).endsWith("\r\n\r\nabc0123456789abcdef");
+        }
+    }
+
     private static Service catalogue(TestUpstream upstream) {
         return Service.builder("catalogue")
                 .external(true)
--- a/daemon/src/test/java/org/sardinepost/daemon/MalformedRequestTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/MalformedRequestTest.java
@@ -61,6 +61,8 @@
                 "POST / HTTP/1.1|Host: catalogue|Transfer-Encoding: chunked||-1|ab|0||",
                 "POST / HTTP/1.1|Host: catalogue|Transfer-Encoding: chunked||0x2|ab|0||",
                 "POST / HTTP/1.1|Host: catalogue|Transfer-Encoding: chunked||fffffffff|ab|0||",
+                "POST / HTTP/1.1|Host: catalogue|Transfer-Encoding: chunked||2|abcd|0||",
+                "POST / HTTP/1.1|Host: catalogue|Transfer-Encoding: chunked||2|ab0||",
                 "GET / HTTP/1.1|Host: catalogue|Folded: a| b||",
                 "GET / HTTP/1.1|Host: catalogue| Leading: a||",
                 "GET / HTTP/1.1|Host: catalogue|Bad Name: a||",
--- /dev/null
+++ b/daemon/src/test/java/org/sardinepost/daemon/PagesTest.java
@@ -0,0 +1,67 @@
+package org.sardinepost.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RetryReason;
+import org.sardinepost.daemon.log.LogEvent;
+
+/** Guards against reasons and log events that operators cannot look up. */
+final class PagesTest {
+    private static final Path DOCS = Path.of("..", "docs");
+
+    private static List<String> rows(String page, String firstCell) throws IOException {
+        return Pattern.compile("(?m)^\\| (" + firstCell + ") \\|.*$")
+                .matcher(Files.readString(DOCS.resolve(page)))
+                .results()
+                .map(MatchResult::group)
+                .toList();
+    }
+
+    @Test
+    void everyLogEventHasOneRowWithItsLine() throws IOException {
+        List<String> rows = rows("events.md", "SP-\\d+");
+
+        for (LogEvent event : LogEvent.values()) {
+            assertThat(rows.stream()
+                            .filter(row -> row.startsWith("| " + event.code() + " |"))
+                            .filter(row -> row.contains("| " + event.message() + " |")))
+                    .hasSize(1);
+        }
+        assertThat(rows).hasSize(LogEvent.values().length);
+    }
+
+    @Test
+    void logEventNumbersAreUnique() {
+        assertThat(Arrays.stream(LogEvent.values()).map(LogEvent::code).toList())
+                .containsNoDuplicates();
+    }
+
+    @Test
+    void everyRefusalReasonHasOneRowWithItsStatus() throws IOException {
+        List<String> rows = rows("operators.md", "`[a-z-]+`");
+
+        for (RefusalReason reason : RefusalReason.values()) {
+            String start = "| `" + reason.label() + "` | " + reason.status();
+            assertThat(rows.stream().filter(row -> row.startsWith(start))).hasSize(1);
+        }
+    }
+
+    @Test
+    void everyRetryReasonHasOneRow() throws IOException {
+        List<String> rows = rows("operators.md", "`[a-z-]+`");
+
+        for (RetryReason reason : RetryReason.values()) {
+            Pattern row = Pattern.compile("\\| `" + reason.label() + "` \\| (all|idempotent) \\|.*");
+            assertThat(rows.stream().filter(row.asMatchPredicate())).hasSize(1);
+        }
+    }
+}
