Cancel the send of a call without token when its caller goes away

TokenGuard returned a dependent future for every call, so the cancellation of a call did not reach its send: CallEndTest.aCallerThatGoesAway... timed out after 30 s. The send itself is now returned, and cancellation is passed on where a fresh token is added. CallEndTest passes.

--- a/daemon/src/main/java/org/sardinepost/daemon/token/FreshTokens.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/FreshTokens.java
@@ -33,14 +33,12 @@
     }
 
     /**
-     * Adds a fresh token if the caller asked for one and the answer has none.
+     * Adds a fresh token if the answer has none.
      *
      * <p>A forwarding daemon adds its own token instead of the issuer's, because the caller is connected to it.
      */
-    HeldAnswer addIfAsked(Call call, HeldAnswer answer) {
-        boolean wanted = TokenHeaders.asksForToken(call.request().headers())
-                && call.forwardedBy().isEmpty()
-                && !answer.headers().contains(CallHeaders.TOKEN);
+    HeldAnswer addTo(Call call, HeldAnswer answer) {
+        boolean wanted = call.forwardedBy().isEmpty() && !answer.headers().contains(CallHeaders.TOKEN);
         return wanted ? addIfPossible(answer) : answer;
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
@@ -39,12 +39,22 @@
     @Override
     public CompletableFuture<HeldAnswer> handle(Call call, CallDispatch dispatch) {
         try {
-            return send(call, dispatch).thenApply(answer -> freshTokens.addIfAsked(call, answer));
+            return withFreshToken(call, send(call, dispatch));
         } catch (RefusedException refused) {
             return CompletableFuture.failedFuture(refused);
         }
     }
 
+    /** Cancelling the result cancels the send, except that of a request with a token, whose outcome is recorded. */
+    private CompletableFuture<HeldAnswer> withFreshToken(Call call, CompletableFuture<HeldAnswer> sent) {
+        if (!TokenHeaders.asksForToken(call.request().headers())) {
+            return sent;
+        }
+        CompletableFuture<HeldAnswer> answer = sent.thenApply(held -> freshTokens.addTo(call, held));
+        var unused = answer.whenComplete((held, failure) -> sent.cancel(false));
+        return answer;
+    }
+
     private CompletableFuture<HeldAnswer> send(Call call, CallDispatch dispatch) {
         if (call.idempotent()) {
             return dispatch.toUpstream();
