Wire the control side into the daemon

The daemon served only the text that it read at the start. It now takes services and upstreams from the control side, holds dispatches after a pause, reports draining answers and refused connections, shows the control status, becomes ready only after the start gate and says goodbye at a planned stop. A stopping peer still finishes calls, so its loads count until its connection ends. Closing twice and sending after the close no longer throw.

--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,21 +10,25 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.sardinepost.core.membership.VmListReader;
 import org.sardinepost.core.routing.LeastInFlightDispatcher;
+import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.core.text.ServicesText;
+import org.sardinepost.core.text.ServicesTextReader;
 import org.sardinepost.daemon.admin.AdminHandler;
 import org.sardinepost.daemon.admin.Readiness;
 import org.sardinepost.daemon.admin.StatusPage;
 import org.sardinepost.daemon.call.CallPath;
 import org.sardinepost.daemon.call.CallerHandler;
 import org.sardinepost.daemon.call.CallsInProgress;
-import org.sardinepost.daemon.call.DispatchGate;
 import org.sardinepost.daemon.call.HeldBytes;
 import org.sardinepost.daemon.call.RefusalErrorHandler;
 import org.sardinepost.daemon.call.RequestGuard;
 import org.sardinepost.daemon.call.ServiceRegistry;
 import org.sardinepost.daemon.call.UpstreamClient;
+import org.sardinepost.daemon.control.ControlPlane;
+import org.sardinepost.daemon.control.RegistryTarget;
 import org.sardinepost.daemon.log.LogEvent;
 import org.sardinepost.daemon.metrics.CallMetrics;
 
@@ -39,12 +44,14 @@
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("deadlines", true);
     private final HttpClient client = ClientFactory.create();
     private final HeldBytes heldBytes;
+    private final ControlPlane control;
     private final Server callerServer;
     private final Server adminServer;
     private final PlannedStop plannedStop;
 
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
+        this.control = controlPlane(settings);
         this.callerServer = CallerServerFactory.create(settings, new CallerHandler(callPath(settings)));
         this.adminServer =
                 AdminServerFactory.create(settings.adminAddress(), new AdminHandler(readiness, status, prometheus));
@@ -53,12 +60,23 @@
         observe(settings);
     }
 
+    private ControlPlane controlPlane(DaemonSettings settings) {
+        return ControlPlane.builder(settings, new SecureRandom().nextLong())
+                .textReader(content ->
+                        ServicesTextReader.read(settings.configuration().location(), content))
+                .vmListReader(content -> VmListReader.read(settings.vms().location(), content))
+                .target(new RegistryTarget(registry))
+                .callerAddress(() -> new UpstreamId(settings.callerAddress().host(), callerPort()))
+                .metrics(prometheus)
+                .build();
+    }
+
     private CallPath callPath(DaemonSettings settings) {
         return new CallPath(
                 registry,
-                new UpstreamClient(client),
+                new UpstreamClient(client, control),
                 RequestGuard.passThrough(),
-                DispatchGate.open(),
+                () -> control.pauseGate().passage(),
                 heldBytes,
                 callsInProgress,
                 metrics,
@@ -72,6 +90,8 @@
         metrics.gauge("sardinepost_held_bytes", "Bytes of requests and answers held.", heldBytes::usedBytes);
         metrics.gauge("sardinepost_calls_in_progress", "Calls in progress.", callsInProgress::count);
         readiness.require(plannedStop::obstacle);
+        readiness.require(control::obstacle);
+        status.add(() -> control.status().lines());
         readiness.require(() -> registry.hasText() ? Optional.empty() : Optional.of("no services text"));
         status.add(() -> List.of(
                 "caller-address: " + settings.callerAddress(),
@@ -98,6 +118,11 @@
         return status;
     }
 
+    /** Configuration, membership and peers. */
+    public ControlPlane control() {
+        return control;
+    }
+
     public PrometheusRegistry prometheus() {
         return prometheus;
     }
@@ -112,6 +137,7 @@
         client.start();
         adminServer.start();
         callerServer.start();
+        control.start();
         LogEvent.STARTED.info(callerPort(), adminPort());
     }
 
@@ -135,6 +161,7 @@
 
     /** Drains and stops; completes when the last call has ended. The admin address answers until {@link #close}. */
     public CompletableFuture<Void> stop() {
+        var unused = control.goodbye();
         return plannedStop.run();
     }
 
@@ -142,6 +169,7 @@
     @Override
     public void close() throws Exception {
         callerServer.stop();
+        control.close();
         adminServer.stop();
         client.stop();
         scheduler.stop();
--- a/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
@@ -44,7 +44,6 @@
 
     private static int serve(StartFiles files) throws InterruptedException {
         Daemon daemon = new Daemon(files.settings().orElseThrow());
-        files.text().ifPresent(daemon::apply);
         try {
             daemon.start();
         } catch (Exception e) {
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
@@ -60,6 +61,7 @@
     private final Revalidation revalidation;
     private final PeerMessageHandler messages;
     private final Optional<SourceWatch> vmWatch;
+    private final AtomicBoolean closed = new AtomicBoolean();
     private volatile ControlStatus status = ControlStatus.initial();
     private final Optional<UpstreamId> advertisedAddress;
     private volatile UpstreamId peerAddress;
@@ -141,6 +143,14 @@
         return start.ready();
     }
 
+    /** What keeps the daemon from serving callers; empty if nothing does, or if no configuration is read. */
+    public Optional<String> obstacle() {
+        if (settings.configuration().kind() == Source.Kind.NONE || start.ready().isDone()) {
+            return Optional.empty();
+        }
+        return Optional.of("the services text is not read or the peers were not yet asked for theirs");
+    }
+
     /** The peer address; its port differs from the settings if they ask for port 0. */
     public UpstreamId peerAddress() {
         return peerAddress;
@@ -193,6 +203,9 @@
 
     @Override
     public void close() throws Exception {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         control.close();
         peers.close();
         server.ifPresent(PeerServer::close);
--- a/daemon/src/main/java/org/sardinepost/daemon/control/FileSource.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/FileSource.java
@@ -37,7 +37,7 @@
     @Override
     public CompletableFuture<Long> awaitChange(long after) {
         CompletableFuture<Long> changed = new CompletableFuture<>();
-        control.after(CHECK_MILLIS, () -> check(changed));
+        control.after(after == 0 ? 0 : CHECK_MILLIS, () -> check(changed));
         return changed;
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
@@ -38,16 +38,14 @@
             case HANDOVER_ACK -> parts.handoverSender()
                     .acknowledged(
                             sender.getIncarnation(), message.getHandoverAck().getIncarnation());
-            case GOODBYE -> goodbye(peer, sender);
+            case GOODBYE -> goodbye(peer);
             case HELLO, HEARTBEAT, BODY_NOT_SET -> {}
         }
     }
 
     private void load(Peer peer, Hello sender, LoadBatch batch) {
         parts.membership().peerMarks(peer.address(), batch);
-        if (!peer.leaving()) {
-            parts.loadReceiver().received(sender.getIncarnation(), batch);
-        }
+        parts.loadReceiver().received(sender.getIncarnation(), batch);
     }
 
     private void offer(Peer peer, ConfigurationOffer offer) {
@@ -88,9 +86,9 @@
                                 .build());
     }
 
-    private void goodbye(Peer peer, Hello sender) {
+    /** A stopping daemon still finishes calls, so its loads count until its connection ends. */
+    private void goodbye(Peer peer) {
         peer.saidGoodbye();
         parts.peers().publish();
-        parts.loadReceiver().gone(sender.getIncarnation());
     }
 }
--- a/peer/src/main/java/org/sardinepost/peer/PeerClient.java
+++ b/peer/src/main/java/org/sardinepost/peer/PeerClient.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.sardinepost.core.routing.UpstreamId;
@@ -53,34 +54,36 @@
     /** Sends a message; completes when it is written, fails with {@link PeerException} if it cannot be. */
     public CompletableFuture<Void> send(PeerMessage message) {
         Outgoing outgoing = new Outgoing(message, new CompletableFuture<>());
-        loop.execute(() -> enqueue(outgoing));
+        execute(() -> enqueue(outgoing), () -> outgoing.fail(notConnected()));
         return outgoing.written();
     }
 
     /** Sends a load batch, or keeps it for when the connection takes more. It is dropped when there is no connection. */
     public void sendLoad(LoadBatch batch) {
-        loop.execute(() -> {
+        Runnable keep = () -> {
             if (usable.isEmpty()) {
                 return;
             }
             pendingLoad = Optional.of(
                     pendingLoad.map(older -> LoadBatches.merge(older, batch)).orElse(batch));
             drain();
-        });
+        };
+        execute(keep, () -> {});
     }
 
     /** Ends the connection; queued messages are written first. */
     @Override
     public void close() {
-        loop.execute(() -> {
+        Runnable end = () -> {
             closed = true;
             drain();
             usable.or(() -> opening).ifPresent(PeerClient::closeChannel);
-        });
+        };
+        execute(end, () -> {});
     }
 
     void start() {
-        loop.execute(this::connect);
+        execute(this::connect, () -> {});
     }
 
     void greeted(Channel channel, Hello hello) {
@@ -115,6 +118,15 @@
         }
     }
 
+    /** Runs a task on the event loop, or the alternative if the transport is closed. */
+    private void execute(Runnable task, Runnable whenClosed) {
+        try {
+            loop.execute(task);
+        } catch (RejectedExecutionException e) {
+            whenClosed.run();
+        }
+    }
+
     private boolean takesMore() {
         return usable.filter(Channel::isWritable).isPresent();
     }
