--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -1,7 +1,6 @@
 package org.sardinepost.daemon;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,13 +23,13 @@
 import org.sardinepost.daemon.call.CallsInProgress;
 import org.sardinepost.daemon.call.HeldBytes;
 import org.sardinepost.daemon.call.RefusalErrorHandler;
-import org.sardinepost.daemon.call.RequestGuard;
 import org.sardinepost.daemon.call.ServiceRegistry;
 import org.sardinepost.daemon.call.UpstreamClient;
 import org.sardinepost.daemon.control.ControlPlane;
 import org.sardinepost.daemon.control.RegistryTarget;
 import org.sardinepost.daemon.log.LogEvent;
 import org.sardinepost.daemon.metrics.CallMetrics;
+import org.sardinepost.daemon.token.DaemonTokens;
 
 /** One daemon: wires the caller path, the admin address and the planned stop. */
 public final class Daemon implements AutoCloseable {
@@ -44,6 +43,7 @@
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("deadlines", true);
     private final HttpClient client = ClientFactory.create();
     private final HeldBytes heldBytes;
+    private final DaemonTokens tokens;
     private final ControlPlane control;
     private final Server callerServer;
     private final Server adminServer;
@@ -51,7 +51,9 @@
 
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
+        this.tokens = DaemonTokens.create(settings, System::nanoTime);
         this.control = controlPlane(settings);
+        tokens.useDirectory(control.peerDirectory());
         this.callerServer = CallerServerFactory.create(settings, new CallerHandler(callPath(settings)));
         this.adminServer =
                 AdminServerFactory.create(settings.adminAddress(), new AdminHandler(readiness, status, prometheus));
@@ -61,7 +63,8 @@
     }
 
     private ControlPlane controlPlane(DaemonSettings settings) {
-        return ControlPlane.builder(settings, new SecureRandom().nextLong())
+        return ControlPlane.builder(settings, tokens.incarnation())
+                .handoverReceiver(tokens::adopt)
                 .textReader(content ->
                         ServicesTextReader.read(settings.configuration().location(), content))
                 .vmListReader(content -> VmListReader.read(settings.vms().location(), content))
@@ -75,7 +78,7 @@
         return new CallPath(
                 registry,
                 new UpstreamClient(client, control),
-                RequestGuard.passThrough(),
+                tokens.guard(),
                 () -> control.pauseGate().passage(),
                 heldBytes,
                 callsInProgress,
@@ -103,6 +106,11 @@
                 "services: " + String.join(", ", registry.names())));
     }
 
+    /** The idempotency tokens of this incarnation. */
+    public DaemonTokens tokens() {
+        return tokens;
+    }
+
     /** The services in force; whoever reads the configuration applies it here. */
     public ServiceRegistry registry() {
         return registry;
@@ -162,7 +170,12 @@
     /** Drains and stops; completes when the last call has ended. The admin address answers until {@link #close}. */
     public CompletableFuture<Void> stop() {
         var unused = control.goodbye();
-        return plannedStop.run();
+        return plannedStop.run().thenCompose(lastCallEnded -> handOver());
+    }
+
+    /** A failed hand-over is logged and ends the stop all the same; the tokens then get "unknown" from every daemon. */
+    private CompletableFuture<Void> handOver() {
+        return tokens.handOver(control.handoverTransport()).exceptionally(failure -> null);
     }
 
     /** Whether the planned stop has come to the point where new calls are refused. */
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -32,6 +32,9 @@
     private final AtomicBoolean answered = new AtomicBoolean();
     private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
     private volatile String serviceName = "";
+    /** Claimed by the guard or by the deadline: no dispatch may begin after "not run" was told. */
+    private final AtomicBoolean claimed = new AtomicBoolean();
+
     private volatile boolean handedToGuard;
 
     CallRun(CallPath path, Request request, Response response, Callback callback) {
@@ -130,7 +133,7 @@
     }
 
     private CompletableFuture<HeldAnswer> guard(Call call) {
-        if (answer.isDone()) {
+        if (answer.isDone() || !claimed.compareAndSet(false, true)) {
             return CompletableFuture.failedFuture(
                     new RefusedException(RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call is over"));
         }
@@ -146,7 +149,7 @@
     }
 
     private void expire() {
-        Outcome outcome = handedToGuard ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        Outcome outcome = claimed.compareAndSet(false, true) ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         answer.completeExceptionally(
                 new RefusedException(RefusalReason.DEADLINE_EXCEEDED, outcome, "no answer within the deadline"));
     }
@@ -154,7 +157,7 @@
     private void end(HeldAnswer held, Throwable failure) {
         answered.set(true);
         callerWatch.stop();
-        HeldAnswer last = failure == null ? held : OwnAnswers.of(Refusals.of(failure));
+        HeldAnswer last = failure == null ? held : OwnAnswers.of(refusal(failure));
         CallEnd end = CallEnd.of(last);
         // Where a malformed request ends is uncertain, so nothing after it is read as a request.
         boolean malformed =
@@ -167,6 +170,11 @@
         AnswerWriter.write(last, request, response, Callback.from(callback, this::leave));
     }
 
+    private RefusedException refusal(Throwable failure) {
+        RefusedException refused = Refusals.of(failure);
+        return handedToGuard ? refused : Refusals.beforeGuard(request.getHeaders(), refused);
+    }
+
     private void leave() {
         reservation.release();
         path.callsInProgress().leave();
