--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -9,20 +9,24 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.sardinepost.core.membership.VmListReader;
 import org.sardinepost.core.routing.LeastInFlightDispatcher;
+import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.core.text.ServicesText;
+import org.sardinepost.core.text.ServicesTextReader;
 import org.sardinepost.daemon.admin.AdminHandler;
 import org.sardinepost.daemon.admin.Readiness;
 import org.sardinepost.daemon.admin.StatusPage;
 import org.sardinepost.daemon.call.CallPath;
 import org.sardinepost.daemon.call.CallerHandler;
 import org.sardinepost.daemon.call.CallsInProgress;
-import org.sardinepost.daemon.call.DispatchGate;
 import org.sardinepost.daemon.call.HeldBytes;
 import org.sardinepost.daemon.call.RefusalErrorHandler;
 import org.sardinepost.daemon.call.ServiceRegistry;
 import org.sardinepost.daemon.call.UpstreamClient;
+import org.sardinepost.daemon.control.ControlPlane;
+import org.sardinepost.daemon.control.RegistryTarget;
 import org.sardinepost.daemon.log.LogEvent;
 import org.sardinepost.daemon.metrics.CallMetrics;
 import org.sardinepost.daemon.token.DaemonTokens;
@@ -40,6 +44,7 @@
     private final HttpClient client = ClientFactory.create();
     private final HeldBytes heldBytes;
     private final DaemonTokens tokens;
+    private final ControlPlane control;
     private final Server callerServer;
     private final Server adminServer;
     private final PlannedStop plannedStop;
@@ -47,6 +52,8 @@
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
         this.tokens = DaemonTokens.create(settings, System::nanoTime);
+        this.control = controlPlane(settings);
+        tokens.useDirectory(control.peerDirectory());
         this.callerServer = CallerServerFactory.create(settings, new CallerHandler(callPath(settings)));
         this.adminServer =
                 AdminServerFactory.create(settings.adminAddress(), new AdminHandler(readiness, status, prometheus));
@@ -55,12 +62,24 @@
         observe(settings);
     }
 
+    private ControlPlane controlPlane(DaemonSettings settings) {
+        return ControlPlane.builder(settings, tokens.incarnation())
+                .handoverReceiver(tokens::adopt)
+                .textReader(content ->
+                        ServicesTextReader.read(settings.configuration().location(), content))
+                .vmListReader(content -> VmListReader.read(settings.vms().location(), content))
+                .target(new RegistryTarget(registry))
+                .callerAddress(() -> new UpstreamId(settings.callerAddress().host(), callerPort()))
+                .metrics(prometheus)
+                .build();
+    }
+
     private CallPath callPath(DaemonSettings settings) {
         return new CallPath(
                 registry,
-                new UpstreamClient(client),
+                new UpstreamClient(client, control),
                 tokens.guard(),
-                DispatchGate.open(),
+                () -> control.pauseGate().passage(),
                 heldBytes,
                 callsInProgress,
                 metrics,
@@ -74,6 +93,8 @@
         metrics.gauge("sardinepost_held_bytes", "Bytes of requests and answers held.", heldBytes::usedBytes);
         metrics.gauge("sardinepost_calls_in_progress", "Calls in progress.", callsInProgress::count);
         readiness.require(plannedStop::obstacle);
+        readiness.require(control::obstacle);
+        status.add(() -> control.status().lines());
         readiness.require(() -> registry.hasText() ? Optional.empty() : Optional.of("no services text"));
         status.add(() -> List.of(
                 "caller-address: " + settings.callerAddress(),
@@ -105,6 +126,11 @@
         return status;
     }
 
+    /** Configuration, membership and peers. */
+    public ControlPlane control() {
+        return control;
+    }
+
     public PrometheusRegistry prometheus() {
         return prometheus;
     }
@@ -119,6 +145,7 @@
         client.start();
         adminServer.start();
         callerServer.start();
+        control.start();
         LogEvent.STARTED.info(callerPort(), adminPort());
     }
 
@@ -142,7 +169,13 @@
 
     /** Drains and stops; completes when the last call has ended. The admin address answers until {@link #close}. */
     public CompletableFuture<Void> stop() {
-        return plannedStop.run();
+        var unused = control.goodbye();
+        return plannedStop.run().thenCompose(lastCallEnded -> handOver());
+    }
+
+    /** A failed hand-over is logged and ends the stop all the same; the tokens then get "unknown" from every daemon. */
+    private CompletableFuture<Void> handOver() {
+        return tokens.handOver(control.handoverTransport()).exceptionally(failure -> null);
     }
 
     /** Whether the planned stop has come to the point where new calls are refused. */
@@ -154,6 +187,7 @@
     @Override
     public void close() throws Exception {
         callerServer.stop();
+        control.close();
         adminServer.stop();
         client.stop();
         scheduler.stop();
