--- a/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
@@ -109,7 +109,10 @@
     private boolean complete(Result result) {
         if (result.isFailed()) {
             answer.completeExceptionally(new SendException(
-                    failureKind(), "the exchange failed: " + result.getFailure(), result.getFailure()));
+                    failureKind(),
+                    "the exchange with the upstream failed: "
+                            + result.getFailure().getClass().getSimpleName(),
+                    result.getFailure()));
             return false;
         }
         Response response = result.getResponse();
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallSender.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallSender.java
@@ -47,7 +47,7 @@
     }
 
     private static HeldAnswer refused(Throwable failure) {
-        if (failure instanceof SendException send) {
+        if (Refusals.unwrapped(failure) instanceof SendException send) {
             throw new RefusedException(send.kind().reason(), send.getMessage());
         }
         throw Refusals.of(failure);
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamDispatch.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamDispatch.java
@@ -109,7 +109,7 @@
                 .send(place.upstream(), request, call.target().service().answerLimitBytes(), reservation);
         var unused = cancelledWithResult(sent).whenComplete((answer, failure) -> {
             times.proceeding(path.now());
-            ended(place, answer, failure);
+            ended(place, answer, Refusals.unwrapped(failure));
         });
     }
 
