Keep the values of unchanged sections between services texts

RepeatedTextReader keeps the values of the sections that the last text had; lines and rules are evaluated anew, so findings name the lines of the new text.

--- a/core/src/main/java/org/sardinepost/core/ini/CheckedFile.java
+++ b/core/src/main/java/org/sardinepost/core/ini/CheckedFile.java
@@ -19,13 +19,19 @@
     private CheckedFile() {}
 
     public static <T> Checked<T> read(String file, String content, List<Rule> rules, Function<IniDocument, T> build) {
+        return read(file, content, rules, build, new ValueCache());
+    }
+
+    /** Takes the values of sections that did not change from the cache. */
+    public static <T> Checked<T> read(
+            String file, String content, List<Rule> rules, Function<IniDocument, T> build, ValueCache cache) {
         Optional<Finding> refused = TEXT_RULES.stream()
                 .flatMap(rule -> rule.check(file, content).stream())
                 .findFirst();
         if (refused.isPresent()) {
             return Checked.faulty(List.of(refused.get()));
         }
-        IniDocument document = IniParser.parse(file, content);
+        IniDocument document = IniParser.parse(file, content, cache);
         List<Finding> findings = rules.stream()
                 .flatMap(rule -> rule.check(document).stream())
                 .sorted(Comparator.comparingInt(Finding::line))
--- a/core/src/main/java/org/sardinepost/core/ini/IniEntry.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniEntry.java
@@ -5,14 +5,16 @@
 /** One {@code key = value} line. */
 public final class IniEntry {
     private final String key;
-    private final String value;
+    private final IniValue value;
     private final int line;
-    private ValueType<?> parsedType;
-    private Parsed<?> parsed;
 
     public IniEntry(String key, String value, int line) {
+        this(key, new IniValue(value), line);
+    }
+
+    IniEntry(String key, IniValue value, int line) {
         this.key = Objects.requireNonNull(key);
-        this.value = Objects.requireNonNull(value);
+        this.value = value;
         this.line = line;
     }
 
@@ -21,20 +23,15 @@
     }
 
     public String value() {
-        return value;
+        return value.text();
     }
 
     public int line() {
         return line;
     }
 
-    /** The value as read by the type; kept, because the rules and the reader ask for it in turn. */
-    @SuppressWarnings("unchecked") // the result that is kept comes from an equal type
+    /** The value as read by the type. */
     public <T> Parsed<T> parse(ValueType<T> type) {
-        if (!type.equals(parsedType)) {
-            parsedType = type;
-            parsed = type.parse(value);
-        }
-        return (Parsed<T>) parsed;
+        return value.parse(type);
     }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/IniParser.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniParser.java
@@ -24,10 +24,20 @@
     private int headerLine;
     private List<IniEntry> rawEntries = new ArrayList<>();
 
-    private IniParser() {}
+    private final ValueCache cache;
+
+    private IniParser(ValueCache cache) {
+        this.cache = cache;
+    }
 
     public static IniDocument parse(String file, String text) {
-        IniParser parser = new IniParser();
+        return parse(file, text, new ValueCache());
+    }
+
+    /** Takes the values of sections that did not change from the cache. */
+    public static IniDocument parse(String file, String text, ValueCache cache) {
+        cache.startText();
+        IniParser parser = new IniParser(cache);
         int number = 0;
         for (String line : text.lines().toList()) {
             number++;
@@ -73,7 +83,7 @@
         if (beforeFirstHeader && rawEntries.isEmpty()) {
             return;
         }
-        sections.add(new IniSection(name, Math.max(1, headerLine), IniValues.read(rawEntries)));
+        sections.add(new IniSection(name, Math.max(1, headerLine), IniValues.read(rawEntries, cache)));
     }
 
     private static Optional<Problem> entryProblem(String line) {
--- a/core/src/main/java/org/sardinepost/core/ini/IniValues.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniValues.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 
@@ -19,33 +20,51 @@
     private IniValues() {}
 
     /** The entries with the values that the library reads; the first value for a key that is repeated. */
-    static List<IniEntry> read(List<IniEntry> rawEntries) {
-        Map<String, String> names = new HashMap<>();
-        String body = rawEntries.stream()
-                .map(entry -> alias(names, entry.key()) + " = " + entry.value())
+    static List<IniEntry> read(List<IniEntry> rawEntries, ValueCache cache) {
+        String lines = rawEntries.stream()
+                .map(entry -> entry.key() + "=" + entry.value())
                 .collect(Collectors.joining("\n"));
+        List<IniValue> values = cache.values(lines, absent -> read(rawEntries));
+        return IntStream.range(0, values.size())
+                .mapToObj(index -> withValue(rawEntries.get(index), values.get(index)))
+                .toList();
+    }
+
+    private static IniEntry withValue(IniEntry entry, IniValue value) {
+        return new IniEntry(entry.key(), value, entry.line());
+    }
+
+    private static List<IniValue> read(List<IniEntry> rawEntries) {
+        Map<String, String> aliases = new HashMap<>();
+        String lines = rawEntries.stream()
+                .map(entry -> alias(aliases, entry.key()) + " = " + entry.value())
+                .collect(Collectors.joining("\n"));
+        INIConfiguration configuration = parse(lines);
+        return rawEntries.stream()
+                .map(entry -> value(configuration.getProperty(aliases.get(entry.key()))))
+                .toList();
+    }
+
+    private static INIConfiguration parse(String lines) {
         INIConfiguration configuration = new INIConfiguration();
         configuration.setSeparatorUsedInInput("=");
         try {
-            configuration.read(new StringReader(body));
+            configuration.read(new StringReader(lines));
         } catch (ConfigurationException | IOException e) {
             throw new IllegalStateException("commons-configuration refused checked lines", e);
         }
-        return rawEntries.stream()
-                .map(entry -> withValue(entry, configuration, names.get(entry.key())))
-                .toList();
+        return configuration;
     }
 
     /** Keys may contain characters that the library takes for structure, such as a dot. */
-    private static String alias(Map<String, String> names, String key) {
-        return names.computeIfAbsent(key, absent -> "k" + names.size());
+    private static String alias(Map<String, String> aliases, String key) {
+        return aliases.computeIfAbsent(key, absent -> "k" + aliases.size());
     }
 
-    private static IniEntry withValue(IniEntry entry, INIConfiguration configuration, String alias) {
-        // getProperty and not getString: the latter would replace ${env:NAME} in operators' text.
-        Object property = configuration.getProperty(alias);
+    /** The property is not read as a string, because the library would then replace {@code ${env:NAME}} in it. */
+    private static IniValue value(Object property) {
         Object first = property instanceof List<?> values ? values.get(0) : property;
         String value = first == null ? "" : first.toString().trim();
-        return new IniEntry(entry.key(), IniParser.comment(value) ? "" : value, entry.line());
+        return new IniValue(IniParser.comment(value) ? "" : value);
     }
 }
--- a/core/src/main/java/org/sardinepost/core/text/ServicesTextReader.java
+++ b/core/src/main/java/org/sardinepost/core/text/ServicesTextReader.java
@@ -6,13 +6,18 @@
 import org.sardinepost.core.ini.CheckedFile;
 import org.sardinepost.core.ini.IniDocument;
 import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.ValueCache;
 
 /** Reads a services text: either the whole text is good, or every fault of it is reported. */
 public final class ServicesTextReader {
     private ServicesTextReader() {}
 
     public static Checked<ServicesText> read(String file, String content) {
-        return CheckedFile.read(file, content, ServicesTextFormat.RULES, ServicesTextReader::text);
+        return read(file, content, new ValueCache());
+    }
+
+    static Checked<ServicesText> read(String file, String content, ValueCache cache) {
+        return CheckedFile.read(file, content, ServicesTextFormat.RULES, ServicesTextReader::text, cache);
     }
 
     private static ServicesText text(IniDocument document) {
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/text/RepeatedTextReaderTest.java
@@ -0,0 +1,67 @@
+package org.sardinepost.core.text;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.sardinepost.core.ini.Checked;
+
+/** Guards against values or line numbers of an earlier text in a later one. */
+class RepeatedTextReaderTest {
+    @Property(seed = "4717", tries = 1000)
+    void readsAsAReaderWithoutEarlierTexts(@ForAll("texts") List<String> texts) {
+        RepeatedTextReader reader = new RepeatedTextReader();
+        for (String text : texts) {
+            Checked<ServicesText> expected = ServicesTextReader.read("s.ini", text);
+            Checked<ServicesText> read = reader.read("s.ini", text);
+            assertThat(read.findings()).isEqualTo(expected.findings());
+            assertThat(slots(read)).isEqualTo(slots(expected));
+        }
+    }
+
+    @Provide
+    Arbitrary<List<String>> texts() {
+        Arbitrary<String> lines = Arbitraries.of(
+                "[service a]",
+                "[service b]",
+                "slots = 1",
+                "slots = 2",
+                "slots = x",
+                "slots = 1 ; c",
+                "hosts = h",
+                "; c");
+        return lines.list()
+                .ofMaxSize(6)
+                .map(list -> "[text]\nversion = 1\n" + String.join("\n", list))
+                .list()
+                .ofMinSize(2)
+                .ofMaxSize(5);
+    }
+
+    /** Without reuse, a change to one service costs the reading of all. */
+    @Test
+    void keepsTheValuesOfUnchangedSections() {
+        RepeatedTextReader reader = new RepeatedTextReader();
+        String service = "[service a]\nhosts = one, two\n";
+        ServicesText first =
+                reader.read("s.ini", "[text]\nversion = 1\n" + service).value().orElseThrow();
+        ServicesText second = reader.read("s.ini", "[text]\nversion = 2\n; moved\n" + service)
+                .value()
+                .orElseThrow();
+        assertThat(second.version()).isEqualTo(2);
+        assertThat(second.services().get(0).hosts())
+                .isSameInstanceAs(first.services().get(0).hosts());
+    }
+
+    private static List<Integer> slots(Checked<ServicesText> checked) {
+        return checked.value().stream()
+                .flatMap(text -> text.services().stream())
+                .map(Service::slots)
+                .toList();
+    }
+}
