--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -28,9 +28,13 @@
     private final RequestHead head;
     private final HeldReservation reservation;
     private final CallTimes times;
+    private final CallerWatch callerWatch;
     private final AtomicBoolean answered = new AtomicBoolean();
     private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
     private volatile String serviceName = "";
+    /** Claimed by the guard or by the deadline: no dispatch may begin after "not run" was told. */
+    private final AtomicBoolean claimed = new AtomicBoolean();
+
     private volatile boolean handedToGuard;
 
     CallRun(CallPath path, Request request, Response response, Callback callback) {
@@ -39,6 +43,7 @@
         this.response = response;
         this.callback = callback;
         this.head = new RequestHead(request);
+        this.callerWatch = new CallerWatch(request);
         this.reservation = path.heldBytes().open();
         this.times = new CallTimes(path.now());
     }
@@ -128,11 +133,15 @@
     }
 
     private CompletableFuture<HeldAnswer> guard(Call call) {
-        if (answer.isDone()) {
+        if (answer.isDone() || !claimed.compareAndSet(false, true)) {
             return CompletableFuture.failedFuture(
                     new RefusedException(RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call is over"));
         }
         handedToGuard = true;
+        callerWatch.start(() -> answer.cancel(false));
+        if (answer.isDone()) {
+            callerWatch.stop();
+        }
         CompletableFuture<HeldAnswer> guarded =
                 path.guard().handle(call, new CallSender(path, call, reservation, times));
         var unused = answer.whenComplete((held, failure) -> guarded.cancel(false));
@@ -140,20 +149,32 @@
     }
 
     private void expire() {
-        Outcome outcome = handedToGuard ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        Outcome outcome = claimed.compareAndSet(false, true) ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         answer.completeExceptionally(
                 new RefusedException(RefusalReason.DEADLINE_EXCEEDED, outcome, "no answer within the deadline"));
     }
 
     private void end(HeldAnswer held, Throwable failure) {
         answered.set(true);
-        HeldAnswer last = failure == null ? held : OwnAnswers.of(Refusals.of(failure));
+        callerWatch.stop();
+        HeldAnswer last = failure == null ? held : OwnAnswers.of(refusal(failure));
         CallEnd end = CallEnd.of(last);
+        // Where a malformed request ends is uncertain, so nothing after it is read as a request.
+        boolean malformed =
+                end.reason().filter(RefusalReason.MALFORMED_REQUEST::equals).isPresent();
+        if (malformed || path.callsInProgress().draining()) {
+            last = last.withHeader("Connection", "close");
+        }
         end.reason().ifPresent(path.metrics()::refused);
         path.metrics().callEnded(serviceName, end.outcome(), times.ownNanos(path.now()));
         AnswerWriter.write(last, request, response, Callback.from(callback, this::leave));
     }
 
+    private RefusedException refusal(Throwable failure) {
+        RefusedException refused = Refusals.of(failure);
+        return handedToGuard ? refused : Refusals.beforeGuard(request.getHeaders(), refused);
+    }
+
     private void leave() {
         reservation.release();
         path.callsInProgress().leave();
--- a/daemon/src/test/java/org/sardinepost/daemon/RawCaller.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/RawCaller.java
@@ -7,7 +7,7 @@
 
 /** Sends bytes exactly as given and reads what comes back until the connection ends. */
 final class RawCaller {
-    private static final int SAFETY_TIMEOUT_MS = 30_000;
+    private static final int SAFETY_TIMEOUT_MS = 10_000;
 
     private RawCaller() {}
 
@@ -24,4 +24,9 @@
     static String request(String requestLine, String... headers) {
         return requestLine + "\r\n" + String.join("\r\n", headers) + "\r\nConnection: close\r\n\r\n";
     }
+
+    /** A message head of these lines. */
+    static String lines(String... lines) {
+        return String.join("\r\n", lines) + "\r\n\r\n";
+    }
 }
