Use JointLoadDispatcher; a dispatch counts in the planned stop; end dispatches of callers that left

The daemon assigned calls with the baseline LeastInFlightDispatcher.

A dispatch with a token outlives its caller, but the planned stop counted only callers' calls; now dispatches count as well.

TokenGuard returned a derived future, so a caller that went away no longer cancelled its call: CallEndTest.aCallerThatGoesAway timed out after 30 s.

--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -10,7 +10,6 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.sardinepost.core.membership.VmListReader;
-import org.sardinepost.core.routing.LeastInFlightDispatcher;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.core.text.ServicesText;
@@ -33,8 +32,7 @@
 
 /** One daemon: wires the caller path, the admin address and the planned stop. */
 public final class Daemon implements AutoCloseable {
-    private final ServiceRegistry registry =
-            new ServiceRegistry(service -> new LeastInFlightDispatcher(), System::nanoTime);
+    private final ServiceRegistry registry;
     private final PrometheusRegistry prometheus = new PrometheusRegistry();
     private final CallMetrics metrics = new CallMetrics(prometheus);
     private final CallsInProgress callsInProgress = new CallsInProgress();
@@ -51,6 +49,7 @@
 
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
+        this.registry = new ServiceRegistry(DispatcherFactory.of(settings), System::nanoTime);
         this.tokens = DaemonTokens.create(settings, System::nanoTime);
         this.control = controlPlane(settings);
         tokens.useDirectory(control.peerDirectory());
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallSender.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallSender.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.sardinepost.core.call.Outcome;
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
@@ -23,7 +24,7 @@
 
     @Override
     public CompletableFuture<HeldAnswer> toUpstream() {
-        return holding(new UpstreamDispatch(path, call, reservation, times).start());
+        return holding(new UpstreamDispatch(path, call, reservation, times)::start);
     }
 
     @Override
@@ -33,6 +34,10 @@
         if (left <= 0) {
             return CompletableFuture.failedFuture(expired(Outcome.NOT_RUN));
         }
+        return holding(() -> forward(callerAddress, now, left));
+    }
+
+    private CompletableFuture<HeldAnswer> forward(UpstreamId callerAddress, long now, long left) {
         HeldRequest request = call.request()
                 .withHeaders(ForwardedHeaders.toDaemon(
                         call.request().headers(), path.ownAddress().toString(), left));
@@ -43,7 +48,7 @@
             times.proceeding(path.now());
             return failure == null ? held : refused(failure);
         });
-        return holding(boundByDeadline(answer, sent, left));
+        return boundByDeadline(answer, sent, left);
     }
 
     private static HeldAnswer refused(Throwable failure) {
@@ -70,10 +75,15 @@
                 RefusalReason.DEADLINE_EXCEEDED, outcome, "no answer of the other daemon within the deadline");
     }
 
-    /** The dispatch may outlive its caller, so it holds the request bytes by itself. */
-    private CompletableFuture<HeldAnswer> holding(CompletableFuture<HeldAnswer> dispatch) {
+    /** The dispatch may outlive its caller, so it holds the request bytes and its place in the planned stop by itself. */
+    private CompletableFuture<HeldAnswer> holding(Supplier<CompletableFuture<HeldAnswer>> start) {
         reservation.retain();
-        var unused = dispatch.whenComplete((answer, failure) -> reservation.release());
+        path.callsInProgress().enterDispatch();
+        CompletableFuture<HeldAnswer> dispatch = start.get();
+        var unused = dispatch.whenComplete((answer, failure) -> {
+            reservation.release();
+            path.callsInProgress().leave();
+        });
         return dispatch;
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
@@ -18,6 +18,11 @@
         return true;
     }
 
+    /** Counts the dispatch of an admitted call, which may outlive the call of its caller. */
+    synchronized void enterDispatch() {
+        count++;
+    }
+
     void leave() {
         if (lastAfterClose()) {
             allDone.complete(null);
--- a/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
@@ -39,7 +39,11 @@
     @Override
     public CompletableFuture<HeldAnswer> handle(Call call, CallDispatch dispatch) {
         try {
-            return send(call, dispatch).thenApply(answer -> freshTokens.addIfAsked(call, answer));
+            CompletableFuture<HeldAnswer> sent = send(call, dispatch);
+            CompletableFuture<HeldAnswer> answer = sent.thenApply(held -> freshTokens.addIfAsked(call, held));
+            // A caller that goes away ends the dispatch, unless the call has a token: its future is a derived one.
+            var unused = answer.whenComplete((held, failure) -> sent.cancel(false));
+            return answer;
         } catch (RefusedException refused) {
             return CompletableFuture.failedFuture(refused);
         }
