--- a/daemon/src/test/java/org/sardinepost/daemon/RetryTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/RetryTest.java
@@ -11,6 +11,7 @@
 import org.sardinepost.core.routing.Upstream;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.core.text.TokenMode;
 
 /** Guards against requests that run twice, retries that multiply by level, and outcomes that claim too much. */
 final class RetryTest {
@@ -24,6 +25,7 @@
     private static String call(String method, double retryShare, Upstream... upstreams) throws Exception {
         Service service = Service.builder("catalogue")
                 .external(true)
+                .tokens(TokenMode.OPTIONAL)
                 .retryBudgetShare(retryShare)
                 .upstreams(List.of(upstreams))
                 .build();
