--- a/daemon/src/test/java/org/sardinepost/daemon/TestUpstream.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/TestUpstream.java
@@ -27,6 +27,11 @@
     private final List<Request> requests = new CopyOnWriteArrayList<>();
 
     TestUpstream(Behaviour behaviour) throws Exception {
+        this(behaviour, 0);
+    }
+
+    TestUpstream(Behaviour behaviour, int port) throws Exception {
+        connector.setPort(port);
         this.behaviour = behaviour;
         connector.setHost("127.0.0.1");
         connector
--- a/daemon/src/test/java/org/sardinepost/daemon/TokenCaller.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/TokenCaller.java
@@ -45,6 +45,14 @@
                 response.getContentAsString());
     }
 
+    String get(int port, String path) throws Exception {
+        return client.newRequest("127.0.0.1", port)
+                .path(path)
+                .timeout(SAFETY_TIMEOUT_S, TimeUnit.SECONDS)
+                .send()
+                .getContentAsString();
+    }
+
     /** A token of the daemon, from its answer to a request without token. */
     String token(int port) throws Exception {
         return post(port, "", headers -> {}).token().orElseThrow();
--- a/daemon/src/test/java/org/sardinepost/daemon/TokenCallsTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/TokenCallsTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -28,8 +31,6 @@
 /** Guards against a second execution of a non-idempotent request and against false outcomes, through real sockets. */
 @Timeout(30)
 class TokenCallsTest {
-    private static final UpstreamId PEER_ADDRESS = new UpstreamId("127.0.0.1", 8082);
-
     private final ConcurrentHashMap<String, Integer> executions = new ConcurrentHashMap<>();
     private final AtomicBoolean refusing = new AtomicBoolean();
     private final CountDownLatch started = new CountDownLatch(1);
@@ -68,7 +69,14 @@
                 .tokens(mode)
                 .upstreams(List.of(upstream.upstream()))
                 .build();
-        return open(TestDaemon.start(TestDaemon.settings().peerAddress(PEER_ADDRESS), booking));
+        return open(TestDaemon.start(TestDaemon.settings().peerAddress(freeAddress()), booking));
+    }
+
+    /** Tokens carry the peer address of the settings, so it cannot have port 0. */
+    private static UpstreamId freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new UpstreamId("127.0.0.1", socket.getLocalPort());
+        }
     }
 
     private static Optional<String> addressOf(List<Daemon> daemons, long incarnation) {
