--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -12,6 +12,12 @@
 
 /** Creates the HTTP server of the caller address: HTTP/1.1 and h2c on one port. */
 final class CallerServerFactory {
+    /** Larger headers of an upstream's answer count as a failure of the upstream. */
+    static final int MAX_ANSWER_HEADER_BYTES = 16 << 10;
+
+    /** For the headers that the daemon adds to an answer. */
+    private static final int HEADER_ROOM_BYTES = 2 << 10;
+
     private static final int SELECTORS = 2;
     private static final int ACCEPTORS = 1;
 
@@ -41,6 +47,9 @@
     private static HttpConfiguration configuration(DaemonSettings settings) {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(settings.headerLimitBytes());
+        // A smaller first size makes the server write the head twice; it then forgets to close the connection.
+        http.setResponseHeaderSize(MAX_ANSWER_HEADER_BYTES + HEADER_ROOM_BYTES);
+        http.setMaxResponseHeaderSize(MAX_ANSWER_HEADER_BYTES + HEADER_ROOM_BYTES);
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         http.setHttpCompliance(HttpCompliance.RFC9110);
--- a/daemon/src/main/java/org/sardinepost/daemon/ClientFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/ClientFactory.java
@@ -19,15 +19,24 @@
     /** Shorter than usual server idle timeouts, so that an idle connection is seldom closed while a request is written. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
 
+    /** Upstreams that are gone for this long are forgotten. */
+    private static final Duration DESTINATION_IDLE_TIMEOUT = Duration.ofMinutes(5);
+
+    /** For the headers that the daemon adds to a request within the limit. */
+    private static final int HEADER_ROOM_BYTES = 2 << 10;
+
     private ClientFactory() {}
 
-    static HttpClient create() {
+    static HttpClient create(int headerLimitBytes) {
         ClientConnector connector = new ClientConnector();
         connector.setSelectors(SELECTORS);
         connector.setConnectTimeout(CONNECT_TIMEOUT);
         connector.setIdleTimeout(IDLE_TIMEOUT);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
+        client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT.toMillis());
+        client.setMaxRequestHeadersSize(HEADER_ROOM_BYTES + headerLimitBytes);
+        client.setMaxResponseHeadersSize(CallerServerFactory.MAX_ANSWER_HEADER_BYTES);
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -39,7 +39,7 @@
     private final Readiness readiness = new Readiness();
     private final StatusPage status = new StatusPage();
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("deadlines", true);
-    private final HttpClient client = ClientFactory.create();
+    private final HttpClient client;
     private final HeldBytes heldBytes;
     private final DaemonTokens tokens;
     private final ControlPlane control;
@@ -49,6 +49,7 @@
 
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
+        this.client = ClientFactory.create(settings.headerLimitBytes());
         this.registry = new ServiceRegistry(DispatcherFactory.of(settings), System::nanoTime);
         this.tokens = DaemonTokens.create(settings, System::nanoTime);
         this.control = controlPlane(settings);
--- a/daemon/src/main/java/org/sardinepost/daemon/call/AnswerWriter.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/AnswerWriter.java
@@ -10,6 +10,7 @@
     private AnswerWriter() {}
 
     static void write(HeldAnswer answer, Request request, Response response, Callback callback) {
+        response.reset();
         response.setStatus(answer.status());
         for (HttpField field : answer.headers()) {
             response.getHeaders().add(field);
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -15,6 +15,7 @@
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.daemon.log.LogEvent;
 
 /** One call from its request head to the end of its answer. */
 final class CallRun {
@@ -167,7 +168,13 @@
         }
         end.reason().ifPresent(path.metrics()::refused);
         path.metrics().callEnded(serviceName, end.outcome(), times.ownNanos(path.now()));
-        AnswerWriter.write(last, request, response, Callback.from(callback, this::leave));
+        Callback done = Callback.from(callback, this::leave);
+        try {
+            AnswerWriter.write(last, request, response, done);
+        } catch (RuntimeException e) {
+            LogEvent.CALL_FAULT.error(e, String.valueOf(e));
+            done.failed(e);
+        }
     }
 
     private RefusedException refusal(Throwable failure) {
--- a/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
@@ -43,6 +43,21 @@
         }
     }
 
+    @Test
+    void passesLargeHeadersOn() throws Exception {
+        String large = "x".repeat(15_000);
+        try (TestUpstream upstream = new TestUpstream((request, body, response, callback) -> {
+                    response.getHeaders().put("Large", request.getHeaders().get("Large"));
+                    Content.Sink.write(response, true, "", callback);
+                });
+                Daemon daemon = TestDaemon.start(TestDaemon.settings(), catalogue(upstream))) {
+            String answer = RawCaller.exchange(
+                    daemon.callerPort(), RawCaller.request("GET / HTTP/1.1", "Host: catalogue", "Large: " + large));
+
+            assertThat(answer).contains("\r\nLarge: " + large + "\r\n");
+        }
+    }
+
     private static Service catalogue(TestUpstream upstream) {
         return Service.builder("catalogue")
                 .external(true)
--- a/daemon/src/test/java/org/sardinepost/daemon/TestUpstream.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/TestUpstream.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -21,6 +22,8 @@
         void answer(Request request, String body, Response response, Callback callback) throws Exception;
     }
 
+    private static final int LARGEST_HEADER_BYTES = 64 << 10;
+
     private final Server server = new Server();
     private final ServerConnector connector = new ServerConnector(server, 1, 1);
     private final Behaviour behaviour;
@@ -29,10 +32,11 @@
     TestUpstream(Behaviour behaviour) throws Exception {
         this.behaviour = behaviour;
         connector.setHost("127.0.0.1");
-        connector
-                .getConnectionFactory(HttpConnectionFactory.class)
-                .getHttpConfiguration()
-                .setUriCompliance(UriCompliance.UNSAFE);
+        HttpConfiguration http =
+                connector.getConnectionFactory(HttpConnectionFactory.class).getHttpConfiguration();
+        http.setUriCompliance(UriCompliance.UNSAFE);
+        http.setRequestHeaderSize(LARGEST_HEADER_BYTES);
+        http.setMaxResponseHeaderSize(LARGEST_HEADER_BYTES);
         server.addConnector(connector);
         server.setHandler(this);
         server.start();
