--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -68,7 +68,7 @@
                 .textReader(content ->
                         ServicesTextReader.read(settings.configuration().location(), content))
                 .vmListReader(content -> VmListReader.read(settings.vms().location(), content))
-                .target(new RegistryTarget(registry))
+                .target(new RegistryTarget(registry, System::nanoTime))
                 .callerAddress(() -> new UpstreamId(settings.callerAddress().host(), callerPort()))
                 .metrics(prometheus)
                 .build();
