--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallRun.java
@@ -15,6 +15,7 @@
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.daemon.log.LogEvent;
 
 /** One call from its request head to the end of its answer. */
 final class CallRun {
@@ -32,6 +33,9 @@
     private final AtomicBoolean answered = new AtomicBoolean();
     private final CompletableFuture<HeldAnswer> answer = new CompletableFuture<>();
     private volatile String serviceName = "";
+    /** Claimed by the guard or by the deadline: no dispatch may begin after "not run" was told. */
+    private final AtomicBoolean claimed = new AtomicBoolean();
+
     private volatile boolean handedToGuard;
 
     CallRun(CallPath path, Request request, Response response, Callback callback) {
@@ -130,7 +134,7 @@
     }
 
     private CompletableFuture<HeldAnswer> guard(Call call) {
-        if (answer.isDone()) {
+        if (answer.isDone() || !claimed.compareAndSet(false, true)) {
             return CompletableFuture.failedFuture(
                     new RefusedException(RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call is over"));
         }
@@ -146,7 +150,7 @@
     }
 
     private void expire() {
-        Outcome outcome = handedToGuard ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        Outcome outcome = claimed.compareAndSet(false, true) ? Outcome.NOT_RUN : Outcome.UNKNOWN;
         answer.completeExceptionally(
                 new RefusedException(RefusalReason.DEADLINE_EXCEEDED, outcome, "no answer within the deadline"));
     }
@@ -154,7 +158,7 @@
     private void end(HeldAnswer held, Throwable failure) {
         answered.set(true);
         callerWatch.stop();
-        HeldAnswer last = failure == null ? held : OwnAnswers.of(Refusals.of(failure));
+        HeldAnswer last = failure == null ? held : OwnAnswers.of(refusal(failure));
         CallEnd end = CallEnd.of(last);
         // Where a malformed request ends is uncertain, so nothing after it is read as a request.
         boolean malformed =
@@ -164,7 +168,18 @@
         }
         end.reason().ifPresent(path.metrics()::refused);
         path.metrics().callEnded(serviceName, end.outcome(), times.ownNanos(path.now()));
-        AnswerWriter.write(last, request, response, Callback.from(callback, this::leave));
+        Callback done = Callback.from(callback, this::leave);
+        try {
+            AnswerWriter.write(last, request, response, done);
+        } catch (RuntimeException e) {
+            LogEvent.CALL_FAULT.error(e, String.valueOf(e));
+            done.failed(e);
+        }
+    }
+
+    private RefusedException refusal(Throwable failure) {
+        RefusedException refused = Refusals.of(failure);
+        return handedToGuard ? refused : Refusals.beforeGuard(request.getHeaders(), refused);
     }
 
     private void leave() {
--- a/daemon/src/test/java/org/sardinepost/daemon/AdmissionTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/AdmissionTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.core.text.TokenMode;
 
 /** Guards against calls that reach an upstream although caller, depth, deadline or size forbid them. */
 final class AdmissionTest {
@@ -32,7 +33,7 @@
     }
 
     private Service.Builder service(String name) {
-        return Service.builder(name).upstreams(List.of(upstream.upstream()));
+        return Service.builder(name).tokens(TokenMode.OPTIONAL).upstreams(List.of(upstream.upstream()));
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.io.Content;
 import org.junit.jupiter.api.Test;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.core.text.TokenMode;
 
 /** Guards against calls that reach the wrong service or lose a part on their way. */
 final class ForwardingTest {
@@ -28,9 +29,39 @@
         }
     }
 
+    @Test
+    void joinsTheChunksOfABody() throws Exception {
+        try (TestUpstream upstream = new TestUpstream(
+                        (request, body, response, callback) -> Content.Sink.write(response, true, body, callback));
+                Daemon daemon = TestDaemon.start(TestDaemon.settings(), catalogue(upstream))) {
+            String chunks = "3;note=\"a\"\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\nTrailer: x\r\n\r\n";
+            String answer = RawCaller.exchange(
+                    daemon.callerPort(),
+                    RawCaller.request("POST / HTTP/1.1", "Host: catalogue", "Transfer-Encoding: chunked") + chunks);
+
+            assertThat(answer).endsWith("\r\n\r\nabc0123456789abcdef");
+        }
+    }
+
+    @Test
+    void passesLargeHeadersOn() throws Exception {
+        String large = "x".repeat(15_000);
+        try (TestUpstream upstream = new TestUpstream((request, body, response, callback) -> {
+                    response.getHeaders().put("Large", request.getHeaders().get("Large"));
+                    Content.Sink.write(response, true, "", callback);
+                });
+                Daemon daemon = TestDaemon.start(TestDaemon.settings(), catalogue(upstream))) {
+            String answer = RawCaller.exchange(
+                    daemon.callerPort(), RawCaller.request("GET / HTTP/1.1", "Host: catalogue", "Large: " + large));
+
+            assertThat(answer).contains("\r\nLarge: " + large + "\r\n");
+        }
+    }
+
     private static Service catalogue(TestUpstream upstream) {
         return Service.builder("catalogue")
                 .external(true)
+                .tokens(TokenMode.OPTIONAL)
                 .upstreams(List.of(upstream.upstream()))
                 .build();
     }
