Repeat a read that failed after the watch announced a change

The watch reports a revision once. When the read that followed failed, or a stale replica answered it, a daemon without peers kept the older text until the next change; the same held for the VM list. A stale replica that answers watches at once is asked with growing waits instead of every 0.2 s.

--- a/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationControl.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationControl.java
@@ -24,6 +24,7 @@
     private final ControlThread control;
     private final Consumer<ServicesText> onInForce;
     private Optional<SourceWatch> watch = Optional.empty();
+    private long announcedRevision;
     private long fetchedRevision;
     private long fetches;
 
@@ -49,6 +50,7 @@
 
     /** The source has a new revision: this daemon fetches it at once, or gives its peers time to pass it on. */
     void sourceChanged(long revision) {
+        announcedRevision = revision;
         control.after(waitMillis(revision), () -> fetch(revision));
     }
 
@@ -106,13 +108,24 @@
             return;
         }
         fetches++;
-        watch.orElseThrow().read(value -> {
-            fetchedRevision = Math.max(fetchedRevision, value.revision());
-            long platformRevision = origin == TextOrigin.FILE ? 0 : value.revision();
-            offer(new CandidateText(platformRevision, value.content(), origin));
-            if (value.revision() < revision) {
-                // A stale replica answered; the revision that the watch announced is still to come.
-                control.after(FetchSchedule.STEP_MILLIS, () -> fetch(revision));
+        watch.orElseThrow().read(value -> fetched(value, revision), () -> fetchLater(revision));
+    }
+
+    private void fetched(SourceValue value, long wanted) {
+        fetchedRevision = Math.max(fetchedRevision, value.revision());
+        long platformRevision = origin == TextOrigin.FILE ? 0 : value.revision();
+        offer(new CandidateText(platformRevision, value.content(), origin));
+        if (value.revision() < wanted) {
+            // A stale replica answered; the revision that the watch announced is still to come.
+            fetchLater(wanted);
+        }
+    }
+
+    /** The watch announces a revision only once, so a read that failed is repeated unless a newer one replaces it. */
+    private void fetchLater(long revision) {
+        control.after(FetchSchedule.STEP_MILLIS, () -> {
+            if (revision == announcedRevision) {
+                fetch(revision);
             }
         });
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -38,6 +38,7 @@
 /** The control side of one daemon: sources, membership, peers and the tick, all on one thread. */
 public final class ControlPlane implements UpstreamObserver, AutoCloseable {
     private static final long TICK_MILLIS = 100;
+    private static final long VM_LIST_RETRY_MILLIS = 1_500;
 
     private final DaemonSettings settings;
     private final long incarnation;
@@ -256,10 +257,12 @@
     }
 
     private void readVmList(Runnable afterwards) {
-        vmWatch.ifPresent(watch -> watch.read(value -> {
-            membership.listChanged(value);
-            afterwards.run();
-        }));
+        vmWatch.ifPresent(watch -> watch.read(
+                value -> {
+                    membership.listChanged(value);
+                    afterwards.run();
+                },
+                () -> control.after(VM_LIST_RETRY_MILLIS, this::readVmList)));
     }
 
     private PeerListener listener() {
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SourceWatch.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SourceWatch.java
@@ -50,13 +50,14 @@
         closed = true;
     }
 
-    /** Reads the value; a failure is logged and shows as {@link #down}. */
-    void read(Consumer<SourceValue> onValue) {
+    /** Reads the value; a failure is logged, shows as {@link #down} and runs {@code onFailure}. */
+    void read(Consumer<SourceValue> onValue, Runnable onFailure) {
         var unused = source.read()
                 .whenCompleteAsync(
                         (value, failure) -> {
                             if (failure != null) {
                                 failed(failure);
+                                onFailure.run();
                             } else {
                                 succeeded();
                                 onValue.accept(value);
@@ -78,14 +79,16 @@
             control.after(nextRetry(), this::await);
             return;
         }
+        if (revision < seenRevision) {
+            // A stale replica answers at once and would be asked again without pause.
+            answered();
+            control.after(nextRetry(), this::await);
+            return;
+        }
         succeeded();
         if (revision > seenRevision) {
             seenRevision = revision;
             onRevision.accept(revision);
-        } else if (revision < seenRevision) {
-            // A stale replica answers at once and would be asked again without pause.
-            control.after(nextRetry(), this::await);
-            return;
         }
         await();
     }
@@ -99,6 +102,10 @@
 
     private void succeeded() {
         retryMillis = MIN_RETRY_MILLIS;
+        answered();
+    }
+
+    private void answered() {
         if (down) {
             down = false;
             backEvent.info(source.location());
--- a/daemon/src/test/java/org/sardinepost/daemon/control/ControlPlaneTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/ControlPlaneTest.java
@@ -66,6 +66,16 @@
             }
         }
 
+        @Test
+        void aReadThatFailsAfterTheWatchAnnouncedTheChangeIsRepeated() throws Exception {
+            try (TestNode first = firstNode()) {
+                first.awaitVersion(1);
+                service.failReads(1);
+                service.set(2, text(2, "second"));
+                first.awaitVersion(2);
+            }
+        }
+
         @Test
         void aServiceThatIsDownOrStaleChangesNothing() throws Exception {
             try (TestNode first = firstNode()) {
--- a/daemon/src/test/java/org/sardinepost/daemon/control/FakeService.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/FakeService.java
@@ -18,6 +18,7 @@
     private long revision;
     private String content = "";
     private boolean down;
+    private int failingReads;
 
     FakeService() throws Exception {
         connector.setHost("127.0.0.1");
@@ -42,6 +43,11 @@
         notifyAll();
     }
 
+    /** The next reads of the value fail, while the watch works. */
+    synchronized void failReads(int count) {
+        failingReads = count;
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
         Fields query = Request.extractQueryParameters(request);
@@ -50,7 +56,8 @@
         String body = "";
         synchronized (this) {
             await(after, waitMillis);
-            if (down) {
+            boolean read = HttpMethod.GET.is(request.getMethod());
+            if (down || (read && failingReads-- > 0)) {
                 response.setStatus(503);
             } else if (revision == after) {
                 response.setStatus(304);
