--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -39,7 +39,7 @@
     private final Readiness readiness = new Readiness();
     private final StatusPage status = new StatusPage();
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("deadlines", true);
-    private final HttpClient client = ClientFactory.create();
+    private final HttpClient client;
     private final HeldBytes heldBytes;
     private final DaemonTokens tokens;
     private final ControlPlane control;
@@ -49,6 +49,7 @@
 
     public Daemon(DaemonSettings settings) {
         this.heldBytes = new HeldBytes(settings.heldBytes());
+        this.client = ClientFactory.create(settings.headerLimitBytes());
         this.registry = new ServiceRegistry(DispatcherFactory.of(settings), System::nanoTime);
         this.tokens = DaemonTokens.create(settings, System::nanoTime);
         this.control = controlPlane(settings);
@@ -57,6 +58,7 @@
         this.adminServer =
                 AdminServerFactory.create(settings.adminAddress(), new AdminHandler(readiness, status, prometheus));
         this.plannedStop = new PlannedStop(callsInProgress, settings.drainWait(), this::closeListener);
+        plannedStop.addLastStep(this::handOverTokens);
         callerServer.setErrorHandler(new RefusalErrorHandler(metrics));
         observe(settings);
     }
@@ -73,6 +75,11 @@
                 .build();
     }
 
+    /** A failed hand-over is logged by the control plane; the stop goes on, and the tokens become unknown. */
+    private CompletableFuture<Void> handOverTokens() {
+        return tokens.handOver(control.handoverTransport()).exceptionally(failure -> null);
+    }
+
     private CallPath callPath(DaemonSettings settings) {
         return new CallPath(
                 registry,
