Send loads to peers within the measuring budget of each service

Cause: load batches went to every peer each 40 ms, about 25 messages/s to each of 16 peers, whatever the measuring budget of a service was. Change: the loads of one service to one peer are one message that MeasuringBudget grants; peers take turns and get what changed since their last message. Services that a message does not name no longer look fresh. Ruled out: sending no loads at all. Before: no bound but 29 KB/s. After: at most 6 messages in any second over 3 daemons with a budget of 6 (LoadSenderTest, which counts them).

--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -33,6 +33,7 @@
 import org.sardinepost.peer.PeerTransport;
 import org.sardinepost.peer.generated.Goodbye;
 import org.sardinepost.peer.generated.Hello;
+import org.sardinepost.peer.generated.LoadBatch;
 import org.sardinepost.peer.generated.PeerMessage;
 
 /** The control side of one daemon: sources, membership, peers and the tick, all on one thread. */
@@ -90,7 +91,7 @@
                 this::textInForce);
         exchange = new ConfigurationExchange(configuration, peers, clock);
         membership = new MembershipControl(builder.vmListReader, peers, clock, this::membershipChanged);
-        loadSender = new LoadSender(settings.region(), target, peers, budget, clock);
+        loadSender = new LoadSender(this::peersOfRegion, this::sendLoad, target, budget, clock);
         handoverSender = new HandoverSender(settings.region(), peers, control, random);
         start = new StartControl(peers, clock);
         vmWatch = source(settings.vms())
@@ -237,7 +238,21 @@
         return settings.vms().kind() == Source.Kind.NONE || membership.listRead();
     }
 
+    private List<UpstreamId> peersOfRegion() {
+        return peers.connected().stream()
+                .filter(peer -> peer.hello()
+                        .filter(hello -> hello.getRegion().equals(settings.region()))
+                        .isPresent())
+                .map(Peer::address)
+                .toList();
+    }
+
+    private void sendLoad(UpstreamId address, LoadBatch batch) {
+        peers.at(address).ifPresent(peer -> peers.sendLoad(peer, batch));
+    }
+
     private void textInForce(ServicesText text) {
+        loadSender.textInForce(text);
         publish(text);
     }
 
@@ -286,7 +301,7 @@
             LogEvent.PEER_CONNECTED.info(address, Long.toHexString(hello.getIncarnation()));
             membership.sendMarks(peer);
             exchange.announce();
-            loadSender.connected(peer);
+            loadSender.connected(address);
             revalidation.connected(peer);
         });
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/LoadReceiver.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/LoadReceiver.java
@@ -19,12 +19,19 @@
     void received(long incarnation, LoadBatch batch) {
         Map<String, Map<UpstreamId, Integer>> loads =
                 byIncarnation.computeIfAbsent(incarnation, added -> new HashMap<>());
-        batch.getServicesList().stream()
-                .filter(service -> !service.getService().equals(LeavingMessages.NO_SERVICE))
-                .forEach(service ->
-                        apply(loads.computeIfAbsent(service.getService(), name -> new HashMap<>()), service));
-        loads.values().removeIf(Map::isEmpty);
-        target.peerLoads(incarnation, loads);
+        Map<String, Map<UpstreamId, Integer>> told = new HashMap<>();
+        for (ServiceLoad service : batch.getServicesList()) {
+            if (service.getService().equals(LeavingMessages.NO_SERVICE)) {
+                continue;
+            }
+            Map<UpstreamId, Integer> load = loads.computeIfAbsent(service.getService(), name -> new HashMap<>());
+            apply(load, service);
+            told.put(service.getService(), Map.copyOf(load));
+        }
+        // Services that the batch does not name must not look fresh.
+        if (!told.isEmpty()) {
+            target.peerLoads(incarnation, told);
+        }
     }
 
     void gone(long incarnation) {
--- a/daemon/src/main/java/org/sardinepost/daemon/control/LoadSender.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/LoadSender.java
@@ -4,84 +4,121 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
-import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.sardinepost.core.measuring.MeasuringBudget;
 import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.core.text.Service;
+import org.sardinepost.core.text.ServicesText;
 import org.sardinepost.peer.generated.LoadBatch;
 import org.sardinepost.peer.generated.ServiceLoad;
 import org.sardinepost.peer.generated.UpstreamLoad;
 
 /**
- * Sends this daemon's calls in progress to the peers of its region.
+ * Sends this daemon's calls in progress to the peers of its region, within the measuring budget of each service.
  *
- * <p>A batch holds only what changed since the previous one. Across regions the loads would be older than the calls that
- * they describe.
+ * <p>The loads of one service to one peer are one measuring message. Peers take turns. Each message holds what changed
+ * since the last one to the same peer. Across regions the loads would be older than the calls that they describe.
  */
 final class LoadSender {
-    /** The shortest interval between two batches. */
+    /** The interval at which the budgets are asked; no service sends more often. */
     static final long INTERVAL_MILLIS = 40;
 
-    /** Without a batch for 1 s, receivers take this daemon as silent and forget its loads. */
-    private static final long LONGEST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-
-    private final String region;
+    private final Supplier<List<UpstreamId>> receivers;
+    private final BiConsumer<UpstreamId, LoadBatch> transport;
     private final RoutingTarget target;
-    private final PeerTable peers;
-    private final ByteBudget budget;
+    private final ByteBudget bytes;
     private final Clock clock;
-    private Map<String, Map<UpstreamId, OwnUpstreamLoad>> sent = Map.of();
-    private long sentNanos;
+    private final Map<String, ServiceShare> shares = new HashMap<>();
+    private final Map<UpstreamId, Map<String, Map<UpstreamId, OwnUpstreamLoad>>> sent = new HashMap<>();
     private long delayed;
 
-    LoadSender(String region, RoutingTarget target, PeerTable peers, ByteBudget budget, Clock clock) {
-        this.region = region;
+    /**
+     * A sender that has no budget yet.
+     *
+     * @param receivers peer addresses of the connected peers of the region
+     * @param transport sends a batch to one of them
+     */
+    LoadSender(
+            Supplier<List<UpstreamId>> receivers,
+            BiConsumer<UpstreamId, LoadBatch> transport,
+            RoutingTarget target,
+            ByteBudget bytes,
+            Clock clock) {
+        this.receivers = receivers;
+        this.transport = transport;
         this.target = target;
-        this.peers = peers;
-        this.budget = budget;
+        this.bytes = bytes;
         this.clock = clock;
-        this.sentNanos = clock.nanos() - LONGEST_SILENCE_NANOS;
+    }
+
+    /** Puts the measuring budgets of a services text in force. Budgets of services that stay keep their last message. */
+    void textInForce(ServicesText text) {
+        long now = clock.nanos();
+        shares.keySet().removeIf(name -> text.service(name).isEmpty());
+        for (Service service : text.services()) {
+            shares.computeIfAbsent(
+                            service.name(),
+                            name -> new ServiceShare(
+                                    new MeasuringBudget(service.measuringBudgetPerSecond(), text.daemonCeiling(), now)))
+                    .budget()
+                    .change(service.measuringBudgetPerSecond(), text.daemonCeiling());
+        }
     }
 
     /** Called every {@link #INTERVAL_MILLIS}. */
     void tick() {
-        List<Peer> receivers =
-                peers.connected().stream().filter(this::sameRegion).toList();
-        if (receivers.isEmpty()) {
+        List<UpstreamId> peers = receivers.get();
+        sent.keySet().retainAll(peers);
+        if (peers.isEmpty()) {
             return;
         }
-        Map<String, Map<UpstreamId, OwnUpstreamLoad>> current = target.ownLoads();
-        LoadBatch batch = changes(sent, current);
         long now = clock.nanos();
-        if (batch.getServicesCount() == 0 && now - sentNanos < LONGEST_SILENCE_NANOS) {
-            return;
-        }
-        long bytes = receivers.size() * (batch.getSerializedSize() + (long) ByteBudget.OVERHEAD_BYTES);
-        if (!budget.tryCharge(bytes, now)) {
-            delayed++;
+        Map<String, Map<UpstreamId, OwnUpstreamLoad>> current = target.ownLoads();
+        shares.forEach((service, share) -> {
+            if (share.budget().waitNanos(now) == 0) {
+                send(service, share, peers, current.getOrDefault(service, Map.of()), now);
+            }
+        });
+    }
+
+    /** Sends to the next peer, in turn, for which something changed. */
+    private void send(
+            String service,
+            ServiceShare share,
+            List<UpstreamId> peers,
+            Map<UpstreamId, OwnUpstreamLoad> current,
+            long now) {
+        for (int tried = 0; tried < peers.size(); tried++) {
+            UpstreamId peer = share.next(peers);
+            Map<String, Map<UpstreamId, OwnUpstreamLoad>> known =
+                    sent.computeIfAbsent(peer, address -> new HashMap<>());
+            LoadBatch batch = changes(Map.of(service, known.getOrDefault(service, Map.of())), Map.of(service, current));
+            if (batch.getServicesCount() == 0) {
+                continue;
+            }
+            if (!bytes.tryCharge(batch.getSerializedSize() + (long) ByteBudget.OVERHEAD_BYTES, now)) {
+                delayed++;
+                return;
+            }
+            if (share.budget().tryTake(now)) {
+                known.put(service, current);
+                transport.accept(peer, batch);
+            }
             return;
         }
-        receivers.forEach(peer -> peers.sendLoad(peer, batch));
-        sent = current;
-        sentNanos = now;
     }
 
-    /** Sends everything to a peer that just connected; the next batches build on it. */
-    void connected(Peer peer) {
-        if (sameRegion(peer)) {
-            LoadBatch all = changes(Map.of(), sent);
-            budget.charge(all.getSerializedSize() + (long) ByteBudget.OVERHEAD_BYTES, clock.nanos());
-            peers.sendLoad(peer, all);
-        }
+    /** Forgets what a peer was told: it knows nothing on a new connection. */
+    void connected(UpstreamId peer) {
+        sent.remove(peer);
     }
 
-    /** Batches that waited for the byte budget. */
+    /** Messages that waited for the byte budget. */
     long delayed() {
         return delayed;
     }
 
-    private boolean sameRegion(Peer peer) {
-        return peer.hello().filter(hello -> hello.getRegion().equals(region)).isPresent();
-    }
-
     static LoadBatch changes(
             Map<String, Map<UpstreamId, OwnUpstreamLoad>> before, Map<String, Map<UpstreamId, OwnUpstreamLoad>> after) {
         LoadBatch.Builder batch = LoadBatch.newBuilder();
--- a/daemon/src/main/java/org/sardinepost/daemon/control/RegistryTarget.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/RegistryTarget.java
@@ -51,8 +51,12 @@
 
     @Override
     public void peerLoads(long incarnation, Map<String, Map<UpstreamId, Integer>> inFlight) {
-        forEachJoint((service, dispatcher) ->
-                dispatcher.peerLoads(incarnation, inFlight.getOrDefault(service, Map.of()), nanoClock.getAsLong()));
+        forEachJoint((service, dispatcher) -> {
+            Map<UpstreamId, Integer> loads = inFlight.get(service);
+            if (loads != null) {
+                dispatcher.peerLoads(incarnation, loads, nanoClock.getAsLong());
+            }
+        });
     }
 
     @Override
--- a/daemon/src/main/java/org/sardinepost/daemon/control/RoutingTarget.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/RoutingTarget.java
@@ -24,7 +24,7 @@
     /** This daemon's calls in progress and recent failures by service; upstreams without either may be left out. */
     Map<String, Map<UpstreamId, OwnUpstreamLoad>> ownLoads();
 
-    /** Replaces what is known of one peer's calls in progress by service. */
+    /** Replaces what is known of one peer's calls in progress, for the named services only. */
     void peerLoads(long incarnation, Map<String, Map<UpstreamId, Integer>> inFlight);
 
     /** Forgets the loads of a peer that stopped or cannot be reached. */
--- a/daemon/src/test/java/org/sardinepost/daemon/control/LoadSenderTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/LoadSenderTest.java
@@ -2,11 +2,19 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.core.text.Service;
+import org.sardinepost.core.text.ServicesText;
 import org.sardinepost.peer.generated.LoadBatch;
 
 /** Guards against load batches that lose changes or exceed the limit of control traffic. */
@@ -34,6 +42,90 @@
         }
     }
 
+    /** Guards against load messages that exceed the measuring budget of a service over all daemons. */
+    @Nested
+    class MeasuringBudgets {
+        private static final int CEILING = 3;
+        private static final long SECOND_NANOS = 1_000_000_000L;
+
+        private final AtomicLong now = new AtomicLong();
+        private final AtomicInteger calls = new AtomicInteger();
+        private final List<Long> messageTimes = new ArrayList<>();
+        private final Map<UpstreamId, Integer> messagesByPeer = new HashMap<>();
+
+        @Test
+        void boundEveryWindowOfOneSecondOverAllDaemons() {
+            List<LoadSender> daemons =
+                    Stream.generate(() -> sender(6)).limit(CEILING).toList();
+            run(daemons, 250);
+            assertThat(messageTimes).isNotEmpty();
+            assertThat(mostInOneSecond()).isAtMost(6);
+        }
+
+        @Test
+        void grantNothingForAPause() {
+            List<LoadSender> daemons = List.of(sender(6));
+            run(daemons, 50);
+            now.addAndGet(100 * SECOND_NANOS);
+            run(daemons, 50);
+            assertThat(mostInOneSecond()).isAtMost(2);
+        }
+
+        @Test
+        void ofZeroSendsNothing() {
+            run(List.of(sender(0)), 250);
+            assertThat(messageTimes).isEmpty();
+        }
+
+        @Test
+        void letPeersTakeTurns() {
+            run(List.of(sender(6)), 250);
+            assertThat(messagesByPeer.keySet()).containsExactly(FIRST, SECOND);
+            assertThat(Math.abs(messagesByPeer.get(FIRST) - messagesByPeer.get(SECOND)))
+                    .isAtMost(1);
+        }
+
+        private LoadSender sender(int budget) {
+            RecordingTarget target = new RecordingTarget() {
+                @Override
+                public Map<String, Map<UpstreamId, OwnUpstreamLoad>> ownLoads() {
+                    return Map.of("a", Map.of(FIRST, load(calls.incrementAndGet())));
+                }
+            };
+            LoadSender sender = new LoadSender(
+                    () -> List.of(FIRST, SECOND),
+                    this::sent,
+                    target,
+                    new ByteBudget(29_000, 0),
+                    new Clock(now::get, () -> 0));
+            Service service =
+                    Service.builder("a").measuringBudgetPerSecond(budget).build();
+            sender.textInForce(new ServicesText(1, CEILING, List.of(service)));
+            return sender;
+        }
+
+        private void sent(UpstreamId peer, LoadBatch batch) {
+            messageTimes.add(now.get());
+            messagesByPeer.merge(peer, batch.getServicesCount(), Integer::sum);
+        }
+
+        private void run(List<LoadSender> daemons, int ticks) {
+            for (int tick = 0; tick < ticks; tick++) {
+                now.addAndGet(TimeUnit.MILLISECONDS.toNanos(LoadSender.INTERVAL_MILLIS));
+                daemons.forEach(LoadSender::tick);
+            }
+        }
+
+        private long mostInOneSecond() {
+            return messageTimes.stream()
+                    .mapToLong(start -> messageTimes.stream()
+                            .filter(time -> time >= start && time < start + SECOND_NANOS)
+                            .count())
+                    .max()
+                    .orElse(0);
+        }
+    }
+
     @Nested
     class Budget {
         private static final long TEN_MINUTES_TICKS = 10 * 60 * 1_000 / LoadSender.INTERVAL_MILLIS;
--- a/daemon/src/test/java/org/sardinepost/daemon/control/RecordingTarget.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/RecordingTarget.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.control;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -9,7 +10,7 @@
 import org.sardinepost.core.text.ServicesText;
 
 /** Records what the control side told the caller side. */
-final class RecordingTarget implements RoutingTarget {
+class RecordingTarget implements RoutingTarget {
     volatile long version;
     volatile Map<String, List<Upstream>> upstreams = Map.of();
     volatile Set<UpstreamId> leaving = Set.of();
@@ -35,7 +36,10 @@
 
     @Override
     public void peerLoads(long incarnation, Map<String, Map<UpstreamId, Integer>> inFlight) {
-        peerLoads.put(incarnation, Map.copyOf(inFlight));
+        Map<String, Map<UpstreamId, Integer>> known = new HashMap<>(peerLoads.getOrDefault(incarnation, Map.of()));
+        known.putAll(inFlight);
+        known.values().removeIf(Map::isEmpty);
+        peerLoads.put(incarnation, Map.copyOf(known));
     }
 
     @Override
