Name the target process of a hand-over; apply changed slots; share duplicated logic

(2) A changed slots key did not reach a dispatcher that was kept. (3) Sections were cut and retries decided in two places, and texts were read without the reader for repeated texts. Change: HandoverFrame carries the target incarnation and HandoverInbox drops others; Dispatcher.slots; TextParts uses SectionSplitter, UpstreamDispatch uses RetryPolicy, the control side uses RepeatedTextReader. The stand-in upstream counts the answered call in its reported load, as the dispatcher expects. Token usage is on the status page and in the metrics.

--- a/bench/src/main/java/org/sardinepost/bench/capacity/CapacityCommand.java
+++ b/bench/src/main/java/org/sardinepost/bench/capacity/CapacityCommand.java
@@ -15,7 +15,7 @@
     public Integer call() {
         System.out.println("| what | size | unit | measured | fixed | per unit of size |");
         System.out.println("|---|---|---|---|---|---|");
-        Stream.of(TextSlopes.measure(), TokenSlopes.measure(), PeerSlopes.measure())
+        Stream.of(TextSlopes.measure(), DispatcherSlopes.measure(), TokenSlopes.measure(), PeerSlopes.measure())
                 .flatMap(List::stream)
                 .map(Slope::row)
                 .forEach(System.out::println);
--- a/core/src/main/java/org/sardinepost/core/configuration/TextParts.java
+++ b/core/src/main/java/org/sardinepost/core/configuration/TextParts.java
@@ -10,6 +10,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.sardinepost.core.text.SectionSplitter;
+import org.sardinepost.core.text.TextSection;
 
 /**
  * A services text cut into its sections, each known by its digest.
@@ -35,10 +37,10 @@
     public static TextParts of(String text) {
         List<TextDigest> digests = new ArrayList<>();
         Map<TextDigest, String> contents = new HashMap<>();
-        for (String section : cut(text)) {
-            TextDigest digest = TextDigest.of(section);
+        for (TextSection section : SectionSplitter.split(text)) {
+            TextDigest digest = TextDigest.of(section.content());
             digests.add(digest);
-            contents.put(digest, section);
+            contents.put(digest, section.content());
         }
         return new TextParts(digests, contents);
     }
@@ -90,30 +92,4 @@
         digests.forEach(digest -> text.append(Objects.requireNonNull(contents.get(digest))));
         return text.toString();
     }
-
-    private static List<String> cut(String text) {
-        List<String> sections = new ArrayList<>();
-        int sectionStart = 0;
-        int lineStart = 0;
-        while (lineStart < text.length()) {
-            if (lineStart > sectionStart && headerAt(text, lineStart)) {
-                sections.add(text.substring(sectionStart, lineStart));
-                sectionStart = lineStart;
-            }
-            int lineEnd = text.indexOf('\n', lineStart);
-            lineStart = lineEnd < 0 ? text.length() : lineEnd + 1;
-        }
-        if (sectionStart < text.length()) {
-            sections.add(text.substring(sectionStart));
-        }
-        return sections;
-    }
-
-    private static boolean headerAt(String text, int lineStart) {
-        int index = lineStart;
-        while (index < text.length() && (text.charAt(index) == ' ' || text.charAt(index) == '\t')) {
-            index++;
-        }
-        return index < text.length() && text.charAt(index) == '[';
-    }
 }
--- a/core/src/main/java/org/sardinepost/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/sardinepost/core/retry/RetryPolicy.java
@@ -1,8 +1,5 @@
 package org.sardinepost.core.retry;
 
-import java.util.Optional;
-import org.sardinepost.core.call.RetryReason;
-
 /**
  * Decides whether a call that failed on one upstream goes to another.
  *
@@ -36,12 +33,4 @@
     private static boolean repeatable(FailedAttempt attempt) {
         return attempt.idempotent() || attempt.knownNotRun();
     }
-
-    /** Why a server error would be retried; empty for a status that another upstream would answer in the same way. */
-    public static Optional<RetryReason> reasonOf(int status) {
-        return switch (status) {
-            case 502, 503, 504 -> Optional.of(RetryReason.SERVER_ERROR);
-            default -> Optional.empty();
-        };
-    }
 }
--- a/core/src/main/java/org/sardinepost/core/routing/Dispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/Dispatcher.java
@@ -24,6 +24,9 @@
     /** Replaces the set of upstreams. Calls in progress on removed upstreams finish. */
     void update(List<Upstream> upstreams, long nowNanos);
 
+    /** Sets the slots that each upstream has until it reports another number. Dispatchers without limits ignore it. */
+    default void slots(int slotsPerUpstream, long nowNanos) {}
+
     /** Marks an upstream as leaving: it receives no new call. */
     void markLeaving(UpstreamId upstream, long nowNanos);
 }
--- a/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
@@ -24,7 +24,7 @@
     /** Most calls stay in the failure domain of the daemon, so its upstreams matter more. */
     private static final double LOCAL_IMPORTANCE = 2;
 
-    private final DispatcherSettings settings;
+    private DispatcherSettings settings;
     private final UpstreamChooser chooser;
     private final ServiceLoad service = new ServiceLoad();
     private final PeerLoads peers = new PeerLoads();
@@ -125,6 +125,32 @@
         completions.run(nowNanos);
     }
 
+    /** Upstreams that reported other slots than the old setting keep what they reported. */
+    @Override
+    public void slots(int slotsPerUpstream, long nowNanos) {
+        Completions completions = new Completions();
+        synchronized (this) {
+            if (slotsPerUpstream == settings.slots()) {
+                return;
+            }
+            int before = settings.slots();
+            settings = new DispatcherSettings(slotsPerUpstream, settings.failureDomain(), settings.waitingBytes());
+            states.values().stream()
+                    .filter(state -> state.slots == before)
+                    .forEach(state -> state.slots = slotsPerUpstream);
+            limitsChanged();
+            admitWaiting(completions, nowNanos);
+        }
+        completions.run(nowNanos);
+    }
+
+    private void limitsChanged() {
+        window.setMax(states.values().stream()
+                .filter(UpstreamState::usable)
+                .mapToInt(UpstreamState::limit)
+                .sum());
+    }
+
     @Override
     public void update(List<Upstream> upstreams, long nowNanos) {
         Completions completions = new Completions();
@@ -157,7 +183,7 @@
                 states.values().stream().filter(UpstreamState::usable).toList();
         chooser.setStates(usable.toArray(UpstreamState[]::new));
         health.setUsable(usable);
-        window.setMax(usable.stream().mapToInt(UpstreamState::limit).sum());
+        limitsChanged();
         updatePeerAverages();
     }
 
@@ -293,8 +319,7 @@
         ReportedLoad load = result.load().get();
         if (load.slots() != state.slots) {
             state.slots = load.slots();
-            window.setMax(
-                    states.values().stream().mapToInt(UpstreamState::limit).sum());
+            limitsChanged();
         }
         boolean refused = result.kind() == DispatchResult.Kind.REFUSED;
         int own = refused ? state.inFlight - 1 : state.inFlight;
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -12,8 +12,8 @@
 import org.sardinepost.core.membership.VmListReader;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.settings.DaemonSettings;
+import org.sardinepost.core.text.RepeatedTextReader;
 import org.sardinepost.core.text.ServicesText;
-import org.sardinepost.core.text.ServicesTextReader;
 import org.sardinepost.daemon.admin.AdminHandler;
 import org.sardinepost.daemon.admin.Readiness;
 import org.sardinepost.daemon.admin.StatusPage;
@@ -63,10 +63,10 @@
     }
 
     private ControlPlane controlPlane(DaemonSettings settings) {
+        RepeatedTextReader textReader = new RepeatedTextReader();
         return ControlPlane.builder(settings, tokens.incarnation())
                 .handoverReceiver(tokens::adopt)
-                .textReader(content ->
-                        ServicesTextReader.read(settings.configuration().location(), content))
+                .textReader(content -> textReader.read(settings.configuration().location(), content))
                 .vmListReader(content -> VmListReader.read(settings.vms().location(), content))
                 .target(new RegistryTarget(registry, System::nanoTime))
                 .callerAddress(() -> new UpstreamId(settings.callerAddress().host(), callerPort()))
@@ -92,6 +92,14 @@
     private void observe(DaemonSettings settings) {
         metrics.gauge("sardinepost_held_bytes", "Bytes of requests and answers held.", heldBytes::usedBytes);
         metrics.gauge("sardinepost_calls_in_progress", "Calls in progress.", callsInProgress::count);
+        metrics.gauge(
+                "sardinepost_tokens",
+                "Idempotency tokens that have not expired, adopted ones included.",
+                () -> tokens.usage().ownEntries() + tokens.usage().adoptedEntries());
+        metrics.gauge(
+                "sardinepost_token_answer_bytes",
+                "Bytes of answers stored or reserved for repeats.",
+                () -> tokens.usage().answerBytes());
         readiness.require(plannedStop::obstacle);
         readiness.require(control::obstacle);
         status.add(() -> control.status().lines());
@@ -103,6 +111,8 @@
                 "ready: " + (readiness.obstacles().isEmpty() ? "yes" : "no"),
                 "calls-in-progress: " + callsInProgress.count(),
                 "held-bytes: " + heldBytes.usedBytes(),
+                "tokens: " + tokens.usage().ownEntries() + " own, "
+                        + tokens.usage().adoptedEntries() + " adopted",
                 "services: " + String.join(", ", registry.names())));
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
@@ -63,7 +63,9 @@
                         upstreams.stream().noneMatch(known -> known.id().equals(added.id())))
                 .forEach(upstreams::add);
         upstreams.removeIf(upstream -> leaving.contains(upstream.id()));
-        dispatcher.update(upstreams, nanoClock.getAsLong());
+        long now = nanoClock.getAsLong();
+        dispatcher.slots(service.slots(), now);
+        dispatcher.update(upstreams, now);
         return new RegisteredService(service, dispatcher, retryBudget);
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamDispatch.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamDispatch.java
@@ -9,6 +9,8 @@
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.call.RetryReason;
+import org.sardinepost.core.retry.FailedAttempt;
+import org.sardinepost.core.retry.RetryPolicy;
 import org.sardinepost.core.routing.Dispatch;
 import org.sardinepost.core.routing.DispatchRequest;
 import org.sardinepost.core.routing.DispatchResult;
@@ -139,11 +141,11 @@
 
     private boolean mayRetry(AttemptEnd end) {
         Optional<RetryReason> reason = end.retryReason(call.idempotent());
-        if (reason.isEmpty() || attemptsLeft < 1 || result.isDone()) {
+        if (reason.isEmpty() || result.isDone()) {
             return false;
         }
-        long now = path.now();
-        if (call.deadlineNanos() - now <= 0 || !call.target().retryBudget().tryRetry(now)) {
+        FailedAttempt attempt = new FailedAttempt(call.idempotent(), end.notRun(), attemptsLeft, call.deadlineNanos());
+        if (!new RetryPolicy(call.target().retryBudget()).retry(attempt, path.now())) {
             return false;
         }
         path.metrics().retried(reason.get());
--- a/daemon/src/main/java/org/sardinepost/daemon/control/HandoverInbox.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/HandoverInbox.java
@@ -19,10 +19,18 @@
         private long bytes;
     }
 
+    private final long ownIncarnation;
     private final Map<Key, Image> images = new HashMap<>();
 
-    /** Takes one frame; returns the frames of the whole image with the last one. */
+    HandoverInbox(long ownIncarnation) {
+        this.ownIncarnation = ownIncarnation;
+    }
+
+    /** Takes one frame, unless it is for an earlier process at this address; returns the frames of the whole image with the last one. */
     Optional<List<byte[]>> add(long sender, HandoverFrame frame) {
+        if (frame.getTargetIncarnation() != ownIncarnation) {
+            return Optional.empty();
+        }
         Key key = new Key(sender, frame.getIncarnation());
         if (frame.getIndex() == 0) {
             images.put(key, new Image());
--- a/daemon/src/main/java/org/sardinepost/daemon/control/HandoverSender.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/HandoverSender.java
@@ -111,6 +111,7 @@
         return PeerMessage.newBuilder()
                 .setHandoverFrame(HandoverFrame.newBuilder()
                         .setIncarnation(handover.incarnation)
+                        .setTargetIncarnation(handover.targetIncarnation)
                         .setIndex(index)
                         .setLast(index == handover.frames.size() - 1)
                         .setContent(ByteString.copyFrom(handover.frames.get(index))))
--- a/daemon/src/main/java/org/sardinepost/daemon/control/HeldIncarnations.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/HeldIncarnations.java
@@ -6,9 +6,11 @@
 
 /** The incarnations whose token tables this daemon holds, its own first. Thread-safe. */
 final class HeldIncarnations {
+    private final long own;
     private volatile Set<Long> held;
 
     HeldIncarnations(long own) {
+        this.own = own;
         this.held = Set.of(own);
     }
 
@@ -18,6 +20,11 @@
         held = Collections.unmodifiableSet(more);
     }
 
+    /** The incarnation of this process. */
+    long own() {
+        return own;
+    }
+
     Set<Long> all() {
         return held;
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
@@ -12,10 +12,11 @@
 /** Gives each peer message to the part of the control side that it concerns. Runs on the control thread. */
 final class PeerMessageHandler {
     private final ControlParts parts;
-    private final HandoverInbox inbox = new HandoverInbox();
+    private final HandoverInbox inbox;
 
     PeerMessageHandler(ControlParts parts) {
         this.parts = parts;
+        this.inbox = new HandoverInbox(parts.held().own());
     }
 
     void received(Hello sender, PeerMessage message) {
--- a/standins/src/main/java/org/sardinepost/standins/upstream/UpstreamHandler.java
+++ b/standins/src/main/java/org/sardinepost/standins/upstream/UpstreamHandler.java
@@ -72,8 +72,8 @@
     private void start(Request request, String body, Response response, Callback callback) {
         Behaviour now = behaviour.get();
         if (now.failing()) {
-            queue.release();
             describe(response);
+            queue.release();
             Http.answer(response, 500, "failing on request\n", callback);
             return;
         }
@@ -108,8 +108,9 @@
     }
 
     private void finish(Request request, String id, String body, Response response, Callback callback) {
-        queue.release();
+        // The reported load counts the call that the answer ends.
         describe(response);
+        queue.release();
         int size = Integer.parseInt(Http.parameter(request.getHttpURI().getQuery(), "bytes", "0"));
         StringBuilder text = new StringBuilder(id).append('\n').append(body).append('\n');
         while (text.length() < size) {
