Take the number of attempts from CallContext alone

RetryPolicy repeated CallContext.MAX_ATTEMPTS as a constant that only a test used. The test now runs with the number that calls really have; its bound of 1.1 dispatches per call is unchanged. mvn -B verify -pl core passes.

--- a/core/src/main/java/org/sardinepost/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/sardinepost/core/retry/RetryPolicy.java
@@ -8,9 +8,6 @@
  * retry budget. The budget is asked last, so that calls that can't be retried do not use it up.
  */
 public final class RetryPolicy {
-    /** Attempts of a call that brings no number of its own. */
-    public static final int DEFAULT_ATTEMPTS = 3;
-
     private final RetryBudget budget;
 
     public RetryPolicy(RetryBudget budget) {
--- a/core/src/test/java/org/sardinepost/core/retry/AmplificationTest.java
+++ b/core/src/test/java/org/sardinepost/core/retry/AmplificationTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.sardinepost.core.call.CallContext;
 
 /** Guards against retries that multiply from level to level until the deepest service can't recover. */
 class AmplificationTest {
@@ -49,7 +50,7 @@
         @Test
         void eachLevelDispatchesAtMostElevenTimesForTenCalls() {
             for (int i = 0; i < CALLS; i++) {
-                call(0, RetryPolicy.DEFAULT_ATTEMPTS, i * CALL_NANOS);
+                call(0, CallContext.MAX_ATTEMPTS, i * CALL_NANOS);
             }
             for (int level = 0; level < LEVELS; level++) {
                 double perCall = (double) dispatches[level] / calls[level];
