Halve the processor time of a start; read the source by one daemon for all; try added upstreams

Cause: after the kill of all daemons callers got no answer for about two seconds; a daemon used 1.24 s of processor time until it was idle (local, ticks of /proc, runs of 1.22 to 1.35). Class loading showed three parts: 773 classes outside the dynamic archive (picocli is of an old class file version, the settings were never read in the self-test), the trust store of the JDK for three HTTP clients that never use TLS, and the control plane's client that nobody uses on the platform. Ruled out: locale providers (COMPAT: within noise), archived heap objects (a dump under G1: no difference).

Ruled out: stale reads (seconds of age break the bound on leaving upstreams). Change: ReadTurn, SharedReading and the message SourceState: the first daemon in an order that all know reads and tells its peers; the next ones take over after 150 ms each; no state is older than 1.15 s and one read. After a pause the store is now really read again; before, the copy in memory was taken for it.

Added upstreams. Change: an upstream without any call is tried once it is warm. CentralDispatcherTest.QuietService failed first (0 calls in 6 s).

--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -186,6 +186,7 @@
             lastSlot.used(nowNanos);
         }
         state.inFlight++;
+        state.tried = true;
         state.connections.taken(request.origin().daemon());
         boolean trial = state.health.trialDue(nowNanos);
         if (trial) {
--- a/core/src/main/java/org/sardinepost/core/routing/PlaceChooser.java
+++ b/core/src/main/java/org/sardinepost/core/routing/PlaceChooser.java
@@ -28,6 +28,12 @@
     /** A program that has just started takes about twice the usual time. */
     private static final double COLD_COST = 1;
 
+    /**
+     * Above the sum of what speaks against an idle upstream: its failure domain, its connections and its speed. An upstream
+     * that was added to a quiet service would otherwise stay unused, and its speed unknown until the next burst.
+     */
+    private static final double UNTRIED_GAIN = 0.6;
+
     /** With one more answer in hand, the probability that every asked host is slowed is a few in a hundred. */
     private static final int ASKED_AT_ONCE = 3;
 
@@ -124,6 +130,7 @@
                 && !origin.failureDomain().equals(state.upstream().failureDomain());
         boolean connects = !origin.daemon().isEmpty() && !state.connections.available(origin.daemon(), view.nowNanos());
         double cold = COLD_COST * (1 - state.health.startShare(view.nowNanos()));
+        boolean untried = !state.tried && cold == 0;
         double busy = busy(state, view);
         boolean lastSlot = Math.round(busy) >= state.slots - 1;
         // Equal upstreams take turns at random, or the first one of the list would get all calls of a quiet service.
@@ -133,6 +140,7 @@
                 + (lastSlot ? LAST_SLOT_COST : 0)
                 + (remote ? REMOTE_COST : 0)
                 + (connects ? CONNECTION_COST : 0)
+                - (untried ? UNTRIED_GAIN : 0)
                 + cold
                 + tie;
     }
--- a/core/src/main/java/org/sardinepost/core/routing/UpstreamState.java
+++ b/core/src/main/java/org/sardinepost/core/routing/UpstreamState.java
@@ -24,6 +24,8 @@
     double slowness = 1;
     boolean leaving;
     boolean removed;
+    /** Whether it has had a call. */
+    boolean tried;
 
     UpstreamState(Upstream upstream, DispatcherSettings settings) {
         this.upstream = upstream;
--- a/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
@@ -247,4 +247,44 @@
             assertThat(connections.available("a", 0)).isFalse();
         }
     }
+
+    /** A quiet service whose daemons keep connections open to the upstreams that they have used. */
+    @Nested
+    class QuietService {
+        private static final Origin DAEMON = new Origin("10.1.0.1:80", "a");
+
+        private final CentralDispatcher dispatcher =
+                new CentralDispatcher(DispatcherSettings.of(3, "a"), new SplittableRandom(1), Optional.empty());
+        private final UpstreamId added = new UpstreamId("10.0.0.3", 80);
+        private long now = 1_000 * MILLIS;
+
+        private int callsOnAdded(long millis) {
+            int calls = 0;
+            for (long end = now + millis * MILLIS; now < end; now += 300 * MILLIS) {
+                long deadline = now + 2_000 * MILLIS;
+                DispatchRequest request = new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, DAEMON, "route");
+                Dispatch place = dispatcher.acquire(request, now).join();
+                calls += place.upstream().equals(added) ? 1 : 0;
+                place.finished(DispatchResult.of(DispatchResult.Kind.ANSWERED), now + 100 * MILLIS);
+            }
+            return calls;
+        }
+
+        private void upstreams(UpstreamId... ids) {
+            dispatcher.update(
+                    List.of(ids).stream().map(id -> new Upstream(id, "a")).toList(), now);
+        }
+
+        @Test
+        void triesAnAddedUpstreamOnceItIsWarm() {
+            UpstreamId first = new UpstreamId("10.0.0.1", 80);
+            UpstreamId second = new UpstreamId("10.0.0.2", 80);
+            upstreams(first, second);
+            callsOnAdded(5_000);
+            upstreams(first, second, added);
+
+            assertThat(callsOnAdded(2_000)).isEqualTo(0);
+            assertThat(callsOnAdded(6_000)).isAtLeast(1);
+        }
+    }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/ClientFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/ClientFactory.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
+import org.sardinepost.daemon.http.PlainClientConnector;
 
 /** Creates the HTTP client that passes requests and answers on unchanged. */
 final class ClientFactory {
@@ -29,7 +30,7 @@
     private ClientFactory() {}
 
     static HttpClient create(int headerLimitBytes) {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new PlainClientConnector();
         connector.setSelectors(SELECTORS);
         connector.setConnectTimeout(CONNECT_TIMEOUT);
         connector.setIdleTimeout(IDLE_TIMEOUT);
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -87,8 +87,7 @@
                 .metrics(prometheus)
                 .scheduler(scheduler)
                 .centralPlaces(this::centralPlaces)
-                .configurationSource(parts.configurationSource())
-                .vmListSource(parts.vmListSource())
+                .polledSource(parts.polledSource())
                 .build();
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/DaemonParts.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DaemonParts.java
@@ -5,20 +5,18 @@
 import java.util.function.UnaryOperator;
 import org.sardinepost.daemon.call.HeldAnswer;
 import org.sardinepost.daemon.call.UpstreamProtocol;
-import org.sardinepost.daemon.control.ValueSource;
+import org.sardinepost.daemon.control.PolledSource;
 
 /** What a platform may replace in a daemon; by default the daemon's own protocols. */
 public final class DaemonParts {
     private final UpstreamProtocol upstreamProtocol;
     private final UnaryOperator<HeldAnswer> ownAnswers;
-    private final Optional<ValueSource> configurationSource;
-    private final Optional<ValueSource> vmListSource;
+    private final Optional<PolledSource> polledSource;
 
     private DaemonParts(Builder builder) {
         this.upstreamProtocol = Objects.requireNonNull(builder.upstreamProtocol);
         this.ownAnswers = Objects.requireNonNull(builder.ownAnswers);
-        this.configurationSource = builder.configurationSource;
-        this.vmListSource = builder.vmListSource;
+        this.polledSource = builder.polledSource;
     }
 
     /** The daemon's own protocols and the sources that its settings name. */
@@ -39,22 +37,16 @@
         return ownAnswers;
     }
 
-    /** The source of the services text instead of the one that the settings name. */
-    Optional<ValueSource> configurationSource() {
-        return configurationSource;
-    }
-
-    /** The source of the VM list instead of the one that the settings name. */
-    Optional<ValueSource> vmListSource() {
-        return vmListSource;
+    /** The source of the services text and the VM list instead of those that the settings name. */
+    Optional<PolledSource> polledSource() {
+        return polledSource;
     }
 
     /** Builds the parts. */
     public static final class Builder {
         private UpstreamProtocol upstreamProtocol = UpstreamProtocol.own();
         private UnaryOperator<HeldAnswer> ownAnswers = UnaryOperator.identity();
-        private Optional<ValueSource> configurationSource = Optional.empty();
-        private Optional<ValueSource> vmListSource = Optional.empty();
+        private Optional<PolledSource> polledSource = Optional.empty();
 
         private Builder() {}
 
@@ -68,13 +60,8 @@
             return this;
         }
 
-        public Builder configurationSource(ValueSource value) {
-            this.configurationSource = Optional.of(value);
-            return this;
-        }
-
-        public Builder vmListSource(ValueSource value) {
-            this.vmListSource = Optional.of(value);
+        public Builder polledSource(PolledSource value) {
+            this.polledSource = Optional.of(value);
             return this;
         }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationControl.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationControl.java
@@ -23,7 +23,6 @@
     private final PeerTable peers;
     private final ControlThread control;
     private final Consumer<ServicesText> onInForce;
-    private final boolean fetchAtOnce;
     private Optional<SourceWatch> watch = Optional.empty();
     private long announcedRevision;
     private long fetchedRevision;
@@ -35,15 +34,13 @@
             TextOrigin origin,
             PeerTable peers,
             ControlThread control,
-            Consumer<ServicesText> onInForce,
-            boolean fetchAtOnce) {
+            Consumer<ServicesText> onInForce) {
         this.own = own;
         this.holder = holder;
         this.origin = origin;
         this.peers = peers;
         this.control = control;
         this.onInForce = onInForce;
-        this.fetchAtOnce = fetchAtOnce;
     }
 
     void start(SourceWatch sourceWatch) {
@@ -88,6 +85,11 @@
         return holder;
     }
 
+    /** The platform's revision of the text in force; 0 if there is none. */
+    long heldRevision() {
+        return holder.inForce().map(AcceptedText::revision).orElse(0L);
+    }
+
     /** How often this daemon read the whole text from the source. */
     long fetches() {
         return fetches;
@@ -98,7 +100,7 @@
     }
 
     private long waitMillis(long revision) {
-        if (fetchAtOnce || origin == TextOrigin.FILE || holder.inForce().isEmpty()) {
+        if (origin == TextOrigin.FILE || holder.inForce().isEmpty()) {
             return 0;
         }
         List<String> active = peers.activePeers().stream()
@@ -135,7 +137,7 @@
     }
 
     private boolean alreadyKnown(long revision) {
-        boolean fromPeer = holder.inForce().map(AcceptedText::revision).orElse(0L) >= revision;
+        boolean fromPeer = heldRevision() >= revision;
         return fetchedRevision >= revision || (origin != TextOrigin.FILE && fromPeer);
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlParts.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlParts.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.control;
 
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.sardinepost.daemon.placement.Placement;
 import org.sardinepost.peer.generated.Hello;
@@ -18,7 +19,8 @@
         HandoverReceiver handoverReceiver,
         StartControl start,
         Revalidation revalidation,
-        Placement placement) {
+        Placement placement,
+        Optional<SharedReading> reading) {
     /** Tells the connected peers which incarnations this daemon holds now. */
     void announceSelf() {
         peers.sendToConnected(PeerMessage.newBuilder().setHello(ownHello.get()).build());
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.sardinepost.core.configuration.AcceptedText;
 import org.sardinepost.core.configuration.ConfigurationHolder;
 import org.sardinepost.core.configuration.StartDecision;
@@ -29,6 +30,7 @@
 import org.sardinepost.core.settings.Source;
 import org.sardinepost.core.text.ServicesText;
 import org.sardinepost.daemon.call.UpstreamObserver;
+import org.sardinepost.daemon.http.PlainClientConnector;
 import org.sardinepost.daemon.log.LogEvent;
 import org.sardinepost.daemon.placement.Placement;
 import org.sardinepost.peer.PeerCounters;
@@ -52,7 +54,7 @@
     private final RoutingTarget target;
     private final Clock clock;
     private final DoubleSupplier random;
-    private final HttpClient client = new HttpClient();
+    private final HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(new PlainClientConnector()));
     private final ControlThread control = new ControlThread();
     private final PeerCounters counters = new PeerCounters();
     private final HeldIncarnations held;
@@ -70,6 +72,7 @@
     private final PeerMessageHandler messages;
     private Set<UpstreamId> announcedPeers = Set.of();
     private volatile List<String> connectedPeers = List.of();
+    private final Optional<SharedReading> reading;
     private final Optional<ValueSource> configurationSource;
     private final Optional<SourceWatch> vmWatch;
     private final AtomicBoolean closed = new AtomicBoolean();
@@ -77,6 +80,8 @@
     private final Optional<UpstreamId> advertisedAddress;
     private volatile UpstreamId peerAddress;
     private Optional<PeerServer> server = Optional.empty();
+    /** The client starts only if a source needs it, since its start takes time. */
+    private boolean readsService;
 
     ControlPlane(ControlPlaneBuilder builder) {
         settings = builder.settings;
@@ -97,17 +102,17 @@
                 origin(),
                 peers,
                 control,
-                this::textInForce,
-                builder.configurationSource.isPresent());
+                this::textInForce);
         exchange = new ConfigurationExchange(configuration, peers, clock);
         membership = new MembershipControl(
                 new Membership(absenceRule(settings)), builder.vmListReader, peers, clock, this::membershipChanged);
         loadSender = new LoadSender(this::peersOfRegion, this::sendLoad, target, budget, clock);
         handoverSender = new HandoverSender(settings.region(), peers, control, random);
-        start = new StartControl(builder.configurationSource.isPresent() ? Set::of : peers::named, clock);
-        configurationSource = builder.configurationSource.or(() -> source(settings.configuration()));
-        vmWatch = builder.vmListSource
-                .or(() -> source(settings.vms()))
+        start = new StartControl(builder.polledSource.isPresent() ? Set::of : peers::named, clock);
+        reading = builder.polledSource.map(source ->
+                new SharedReading(source, peers, control, configuration, membership, exchange::announce, clock));
+        configurationSource = reading.isPresent() ? Optional.empty() : source(settings.configuration());
+        vmWatch = (reading.isPresent() ? Optional.<ValueSource>empty() : source(settings.vms()))
                 .map(source -> watch(
                         source, LogEvent.VM_LIST_SOURCE_DOWN, LogEvent.VM_LIST_SOURCE_BACK, unused -> readVmList()));
         pauseGate = new PauseGate(new PauseDetector(evidence(), clock.nanos(), clock.millis()), clock);
@@ -125,7 +130,8 @@
                 builder.handoverReceiver,
                 start,
                 revalidation,
-                placement));
+                placement,
+                reading));
         builder.metrics.ifPresent(registry -> ControlMetrics.register(registry, this::status, counters));
     }
 
@@ -135,7 +141,9 @@
 
     /** Opens the peer address and starts to read the sources. */
     public void start() throws Exception {
-        client.start();
+        if (readsService) {
+            client.start();
+        }
         PeerServer listening = transport.listen(settings.peerAddress());
         server = Optional.of(listening);
         peerAddress = advertisedAddress.orElseGet(
@@ -150,6 +158,7 @@
                             configuration::sourceChanged))
                     .ifPresent(configuration::start);
             vmWatch.ifPresent(SourceWatch::start);
+            reading.ifPresent(SharedReading::tick);
         });
         control.every(TICK_MILLIS, this::tick);
         if (settings.placement() == PlacementMode.OWN) {
@@ -241,6 +250,7 @@
             return;
         }
         control.close();
+        reading.ifPresent(SharedReading::close);
         peers.close();
         server.ifPresent(PeerServer::close);
         transport.close();
@@ -251,6 +261,7 @@
         revalidation.tick();
         target.tick();
         membership.tick();
+        reading.ifPresent(SharedReading::tick);
         exchange.tick();
         peers.dropUnreachable().forEach(messages::gone);
         announcePeers();
@@ -307,12 +318,14 @@
     }
 
     private void readVmList(Runnable afterwards) {
+        Runnable again = () -> control.after(VM_LIST_RETRY_MILLIS, this::readVmList);
+        reading.ifPresent(source -> source.read(afterwards, again));
         vmWatch.ifPresent(watch -> watch.read(
                 value -> {
                     membership.listChanged(value);
                     afterwards.run();
                 },
-                () -> control.after(VM_LIST_RETRY_MILLIS, this::readVmList)));
+                again));
     }
 
     private PeerListener listener() {
@@ -374,7 +387,10 @@
         return switch (source.kind()) {
             case NONE -> Optional.empty();
             case FILE -> Optional.of(new FileSource(Path.of(source.location()), control));
-            case SERVICE -> Optional.of(new ServiceSource(client, source.location()));
+            case SERVICE -> {
+                readsService = true;
+                yield Optional.of(new ServiceSource(client, source.location()));
+            }
         };
     }
 
@@ -413,13 +429,15 @@
                 start.ready().getNow(StartDecision.WAITING),
                 configuration.holder().conflict(),
                 configuration.holder().refused(),
-                configuration.sourceDown(),
-                vmWatch.filter(SourceWatch::down).isPresent(),
+                configuration.sourceDown()
+                        || reading.filter(SharedReading::down).isPresent(),
+                vmWatch.filter(SourceWatch::down).isPresent()
+                        || reading.filter(SharedReading::down).isPresent(),
                 peers.size(),
                 peers.connected().stream().map(Peer::address).toList(),
                 List.copyOf(membership.leaving()),
                 pauseGate.pauses(),
-                configuration.fetches(),
+                configuration.fetches() + reading.map(SharedReading::reads).orElse(0L),
                 loadSender.delayed());
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlaneBuilder.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlaneBuilder.java
@@ -43,8 +43,7 @@
     Optional<PrometheusRegistry> metrics = Optional.empty();
     Function<String, Optional<CentralPlaces>> centralPlaces = service -> Optional.empty();
     Scheduler scheduler = new ScheduledExecutorScheduler("placement", true);
-    Optional<ValueSource> configurationSource = Optional.empty();
-    Optional<ValueSource> vmListSource = Optional.empty();
+    Optional<PolledSource> polledSource = Optional.empty();
 
     ControlPlaneBuilder(DaemonSettings settings, long incarnation) {
         SecureRandom secure = new SecureRandom();
@@ -103,15 +102,9 @@
         return this;
     }
 
-    /** The source of the services text; if empty, the one that the settings name. */
-    public ControlPlaneBuilder configurationSource(Optional<ValueSource> value) {
-        this.configurationSource = value;
-        return this;
-    }
-
-    /** The source of the VM list; if empty, the one that the settings name. */
-    public ControlPlaneBuilder vmListSource(Optional<ValueSource> value) {
-        this.vmListSource = value;
+    /** One source of the services text and the VM list; if empty, the sources that the settings name. */
+    public ControlPlaneBuilder polledSource(Optional<PolledSource> value) {
+        this.polledSource = value;
         return this;
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
@@ -43,6 +43,7 @@
             case GOODBYE -> goodbye(peer);
             case PLACE_REQUEST, PLACE_ANSWER, PLACE_END -> parts.placement()
                     .received(peer.address(), sender.getIncarnation(), message);
+            case SOURCE_STATE -> parts.reading().ifPresent(reading -> reading.received(message.getSourceState()));
             case HELLO, HEARTBEAT, BODY_NOT_SET -> {}
         }
     }
--- /dev/null
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/SharedReadingTest.java
@@ -0,0 +1,121 @@
+package org.sardinepost.daemon.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.sardinepost.daemon.control.TestNode.await;
+import static org.sardinepost.daemon.control.TestNode.text;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.sardinepost.core.routing.UpstreamId;
+
+/** Guards against daemons that each read the source, and against daemons that miss what another one has read. */
+@Timeout(120)
+final class SharedReadingTest {
+    private static final int NODES = 4;
+    private static final UpstreamId UPSTREAM = new UpstreamId("127.0.0.1", 7001);
+
+    private final FakePolledSource.Content content = new FakePolledSource.Content();
+    private final List<FakeLink> links = new ArrayList<>();
+    private final List<FakePolledSource> sources = new ArrayList<>();
+    private final List<TestNode> nodes = new ArrayList<>();
+
+    @BeforeEach
+    void start() throws Exception {
+        content.text(text(1, "first"));
+        content.vmList(vm("live"));
+        for (int i = 0; i < NODES; i++) {
+            add();
+        }
+        for (TestNode node : nodes) {
+            node.awaitConnected(NODES - 1);
+            node.awaitVersion(1);
+        }
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (TestNode node : nodes) {
+            node.close();
+        }
+        for (FakeLink link : links) {
+            link.close();
+        }
+    }
+
+    private void add() throws Exception {
+        FakeLink link = new FakeLink();
+        links.add(link);
+        FakePolledSource source = new FakePolledSource(content);
+        sources.add(source);
+        nodes.add(TestNode.start(link, source, links.get(0).address()));
+    }
+
+    private static String vm(String state) {
+        return "[vm " + UPSTREAM + "]\nrole = upstream\nservice = booking\nfailure-domain = test-1\nstate = " + state
+                + "\n";
+    }
+
+    private int reads() {
+        return sources.stream().mapToInt(source -> source.reads.get()).sum();
+    }
+
+    private List<Integer> readsOfEach() {
+        return sources.stream().map(source -> source.reads.get()).toList();
+    }
+
+    private int reader() throws InterruptedException {
+        List<Integer> before = readsOfEach();
+        await(
+                "three more reads",
+                () -> reads() >= before.stream().mapToInt(Integer::intValue).sum() + 3);
+        List<Integer> after = readsOfEach();
+        int reader = 0;
+        for (int i = 1; i < NODES; i++) {
+            if (after.get(i) - before.get(i) > after.get(reader) - before.get(reader)) {
+                reader = i;
+            }
+        }
+        return reader;
+    }
+
+    @Test
+    void aChangeReachesDaemonsWhoseSourceRefusesThem() throws Exception {
+        int reader = reader();
+        for (int i = 0; i < NODES; i++) {
+            sources.get(i).refuses = i != reader;
+        }
+        content.vmList(vm("leaving"));
+        content.text(text(2, "second"));
+
+        for (TestNode node : nodes) {
+            node.awaitVersion(2);
+            await("the leaving upstream", () -> node.target.leaving.equals(Set.of(UPSTREAM)));
+        }
+    }
+
+    @Test
+    void theNextDaemonReadsWhenTheReaderIsTurnedAway() throws Exception {
+        sources.get(reader()).refuses = true;
+        content.text(text(2, "second"));
+
+        for (TestNode node : nodes) {
+            node.awaitVersion(2);
+        }
+    }
+
+    @Test
+    void aDaemonThatMissedAChangeReadsByItself() throws Exception {
+        int reader = reader();
+        int other = (reader + 1) % NODES;
+        links.get(other).cut();
+        content.vmList(vm("leaving"));
+
+        await("the leaving upstream", () -> nodes.get(other).target.leaving.equals(Set.of(UPSTREAM)));
+        assertThat(nodes.get(other).target.version).isEqualTo(1);
+    }
+}
--- a/daemon/src/test/java/org/sardinepost/daemon/control/TestNode.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/TestNode.java
@@ -4,6 +4,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -32,7 +33,9 @@
     final long incarnation = INCARNATIONS.incrementAndGet();
     final ControlPlane plane;
 
-    private TestNode(FakeLink link, Source configuration, Source vms, UpstreamId... peers) throws Exception {
+    private TestNode(
+            FakeLink link, Source configuration, Source vms, Optional<PolledSource> polled, UpstreamId... peers)
+            throws Exception {
         UpstreamId anyPort = new UpstreamId("127.0.0.1", 0);
         DaemonSettings settings = DaemonSettings.builder()
                 .callerAddress(new UpstreamId("127.0.0.1", (int) incarnation))
@@ -50,6 +53,7 @@
                 .target(target)
                 .timings(TIMINGS)
                 .advertisedAddress(link.address())
+                .polledSource(polled)
                 .handoverReceiver((table, frames) -> {
                     imported.add(table);
                     return failingImports.getAndDecrement() > 0
@@ -67,11 +71,16 @@
     }
 
     static TestNode start(FakeLink link, FakeService service, UpstreamId... peers) throws Exception {
-        return new TestNode(link, Source.service(service.url()), Source.none(), peers);
+        return new TestNode(link, Source.service(service.url()), Source.none(), Optional.empty(), peers);
+    }
+
+    static TestNode start(FakeLink link, PolledSource source, UpstreamId... peers) throws Exception {
+        Source named = Source.service("http://127.0.0.1:1/unused");
+        return new TestNode(link, named, named, Optional.of(source), peers);
     }
 
     static TestNode start(FakeLink link, Source configuration, Source vms, UpstreamId... peers) throws Exception {
-        return new TestNode(link, configuration, vms, peers);
+        return new TestNode(link, configuration, vms, Optional.empty(), peers);
     }
 
     static String text(long version, String note) {
--- a/peer/src/main/java/org/sardinepost/peer/MessageKind.java
+++ b/peer/src/main/java/org/sardinepost/peer/MessageKind.java
@@ -17,6 +17,7 @@
     PLACE_REQUEST,
     PLACE_ANSWER,
     PLACE_END,
+    SOURCE_STATE,
     /** A message without body, or of a kind that a later version added. */
     OTHER;
 
@@ -34,6 +35,7 @@
             case PLACE_REQUEST -> PLACE_REQUEST;
             case PLACE_ANSWER -> PLACE_ANSWER;
             case PLACE_END -> PLACE_END;
+            case SOURCE_STATE -> SOURCE_STATE;
             case BODY_NOT_SET -> OTHER;
         };
     }
