Know the services before callers are accepted; read plain values without the library

Also: the placer that did not answer is marked as silent before its caller hears of it. PlacementTest.isPassedOverByTheNextCalls failed once in a whole build, on the caller that asked in between; by reading, the mark came after the completion.

--- a/core/src/main/java/org/sardinepost/core/ini/IniValues.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniValues.java
@@ -35,6 +35,20 @@
     }
 
     private static List<IniValue> read(List<IniEntry> rawEntries) {
+        boolean plain = rawEntries.stream().map(IniEntry::value).allMatch(PlainValue::is);
+        return plain ? readPlain(rawEntries) : readByLibrary(rawEntries);
+    }
+
+    private static List<IniValue> readPlain(List<IniEntry> rawEntries) {
+        Map<String, IniValue> firsts = new HashMap<>();
+        return rawEntries.stream()
+                .map(entry -> firsts.computeIfAbsent(
+                        entry.key(), absent -> new IniValue(entry.value().trim())))
+                .toList();
+    }
+
+    /** Visible for the test that compares the two ways. */
+    static List<IniValue> readByLibrary(List<IniEntry> rawEntries) {
         Map<String, String> aliases = new HashMap<>();
         String lines = rawEntries.stream()
                 .map(entry -> alias(aliases, entry.key()) + " = " + entry.value())
--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -21,6 +21,9 @@
     private static final int SELECTORS = 2;
     private static final int ACCEPTORS = 1;
 
+    /** Connections that wait while a daemon starts; some seconds of the new ones of a small fleet. */
+    private static final int ACCEPT_QUEUE = 1_024;
+
     /** Upstreams decide what an encoded slash or a dot segment means; the target passes unchanged. */
     private static final UriCompliance TARGETS = new UriCompliance("TARGETS", UriCompliance.AMBIGUOUS_VIOLATIONS);
 
@@ -39,6 +42,7 @@
                 new HTTP2CServerConnectionFactory(http));
         connector.setHost(settings.callerAddress().host());
         connector.setPort(settings.callerAddress().port());
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
         server.addConnector(connector);
         server.setHandler(handler);
         return server;
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -5,6 +5,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
@@ -42,7 +45,11 @@
 
 /** One daemon: wires the caller path, the admin address and the planned stop. */
 public final class Daemon implements AutoCloseable {
+    /** A third of the time after which callers give up on a connection that nobody reads from. */
+    private static final long ACCEPT_WAIT_MILLIS = 400;
+
     private final ServiceRegistry registry;
+    private final boolean readsConfiguration;
     private final PrometheusRegistry prometheus = new PrometheusRegistry();
     private final CallMetrics metrics = new CallMetrics(prometheus);
     private final CallsInProgress callsInProgress = new CallsInProgress();
@@ -62,6 +69,7 @@
     }
 
     public Daemon(DaemonSettings settings, DaemonParts parts) {
+        this.readsConfiguration = settings.configuration().kind() != Source.Kind.NONE;
         this.heldBytes = new HeldBytes(settings.heldBytes());
         this.client = ClientFactory.create(settings.headerLimitBytes());
         this.registry = new ServiceRegistry(dispatchers(settings, parts), System::nanoTime);
@@ -110,9 +118,7 @@
                 parts.ownAnswers(),
                 tokens.guard(),
                 () -> control.pauseGate().passage(),
-                settings.configuration().kind() == Source.Kind.NONE
-                        ? CompletableFuture.completedFuture(null)
-                        : control.ready(),
+                readsConfiguration ? control.ready() : CompletableFuture.completedFuture(null),
                 heldBytes,
                 callsInProgress,
                 metrics,
@@ -192,12 +198,29 @@
     public void start() throws Exception {
         scheduler.start();
         client.start();
+        // Callers that connect now wait in the accept queue instead of being turned away.
+        callerListener().open();
         adminServer.start();
-        callerServer.start();
         control.start();
+        awaitState();
+        callerServer.start();
         LogEvent.STARTED.info(callerPort(), adminPort());
     }
 
+    /** Calls that cannot be answered yet would take the processor from the work that they wait for. */
+    private void awaitState() throws InterruptedException {
+        if (!readsConfiguration) {
+            return;
+        }
+        try {
+            control.ready().get(ACCEPT_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            LogEvent.ACCEPTING_BEFORE_READY.info(ACCEPT_WAIT_MILLIS);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("the start gate failed", e);
+        }
+    }
+
     /** The port of the caller address; differs from the settings if they ask for port 0. */
     public int callerPort() {
         return port(callerServer);
@@ -213,7 +236,11 @@
     }
 
     private void closeListener() {
-        ((ServerConnector) callerServer.getConnectors()[0]).close();
+        callerListener().close();
+    }
+
+    private ServerConnector callerListener() {
+        return (ServerConnector) callerServer.getConnectors()[0];
     }
 
     /** Drains and stops; completes when the last call has ended. The admin address answers until {@link #close}. */
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -109,8 +109,8 @@
         loadSender = new LoadSender(this::peersOfRegion, this::sendLoad, target, budget, clock);
         handoverSender = new HandoverSender(settings.region(), peers, control, random);
         start = new StartControl(builder.polledSource.isPresent() ? Set::of : peers::named, clock);
-        reading = builder.polledSource.map(source ->
-                new SharedReading(source, peers, control, configuration, membership, exchange::announce, clock));
+        reading = builder.polledSource.map(
+                source -> new SharedReading(source, peers, control, configuration, membership, this::stateRead, clock));
         configurationSource = reading.isPresent() ? Optional.empty() : source(settings.configuration());
         vmWatch = (reading.isPresent() ? Optional.<ValueSource>empty() : source(settings.vms()))
                 .map(source -> watch(
@@ -257,6 +257,12 @@
         client.stop();
     }
 
+    /** The source was read; a daemon that starts and a new text do not wait for the next tick. */
+    private void stateRead() {
+        exchange.announce();
+        start.tick(peersKnown(), configuration.holder().version());
+    }
+
     private void tick() {
         revalidation.tick();
         target.tick();
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedReading.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedReading.java
@@ -28,7 +28,7 @@
     private final ControlThread control;
     private final ConfigurationControl configuration;
     private final MembershipControl membership;
-    private final Runnable onNewText;
+    private final Runnable onRead;
     private final Clock clock;
     private final ReadTurn turn = new ReadTurn();
     private Optional<TextDigest> vmListDigest = Optional.empty();
@@ -44,14 +44,14 @@
             ControlThread control,
             ConfigurationControl configuration,
             MembershipControl membership,
-            Runnable onNewText,
+            Runnable onRead,
             Clock clock) {
         this.source = source;
         this.peers = peers;
         this.control = control;
         this.configuration = configuration;
         this.membership = membership;
-        this.onNewText = onNewText;
+        this.onRead = onRead;
         this.clock = clock;
     }
 
@@ -142,6 +142,7 @@
         reading.servicesText().ifPresent(this::applyText);
         boolean first = vmListDigest.isEmpty();
         boolean changed = applyVmList(reading.vmList(), reading.revision());
+        onRead.run();
         tellPeers(changed && !first ? reading.vmList() : "", askedNanos);
     }
 
@@ -158,7 +159,6 @@
         if (text.revision() > textRevision) {
             textRevision = text.revision();
             configuration.offer(new CandidateText(text.revision(), text.content(), TextOrigin.SERVICE));
-            onNewText.run();
         }
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
@@ -16,6 +16,7 @@
     SETTINGS_CHANGED(10, "SIGHUP: the settings in {} have changed; restart the daemon to put them in force"),
     SETTINGS_FAULTY(11, "SIGHUP: the settings in {} are faulty, those of the start stay in force: {}"),
     HANGUP_NOT_HANDLED(12, "SIGHUP will end this process: {}"),
+    ACCEPTING_BEFORE_READY(13, "services and upstreams are not known after {} ms; calls wait for them from now on"),
     CONFIGURATION_ACCEPTED(200, "services text version {} (platform revision {}) is in force, learned from {}"),
     CONFIGURATION_REFUSED(201, "services text of revision {} is refused, version {} stays in force: {}"),
     CONFIGURATION_CONFLICT(202, "{}"),
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/RemotePlaces.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/RemotePlaces.java
@@ -135,9 +135,12 @@
         }
 
         private void silent() {
-            if (place.completeExceptionally(new PlacerSilentException(placer))) {
-                choice.silent(placer, nanoClock.getAsLong());
+            if (place.isDone()) {
+                return;
             }
+            // Noted first: whoever learns that the place failed may ask for the next one at once.
+            choice.silent(placer, nanoClock.getAsLong());
+            place.completeExceptionally(new PlacerSilentException(placer));
         }
     }
 
