Write the log as JSON to standard output; tell late callers soon; prefer the own failure domain

Lines went to standard error, only those of calls were structured, and a reader that stood still would have blocked the threads of calls.

Late callers. Change: it waits a tenth. CentralDispatcherTest.callersThatAreLateAndCannotBe ServedAreToldSoon failed first (327 ms, at most 100).

Costs of a place: another failure domain 0.3 (was 0.1), a new connection 0.3 (was 0.2), in usual service times; still below the last slot.

--- a/core/src/main/java/org/sardinepost/core/admission/WaitRule.java
+++ b/core/src/main/java/org/sardinepost/core/admission/WaitRule.java
@@ -16,6 +16,12 @@
     /** Share after which a call is refused although it was expected to get a place sooner. */
     private static final double LONGEST_WAIT_SHARE = 0.4;
 
+    /**
+     * Share of the time to the deadline that a late call may wait. While calls that are on time wait, it hardly ever gets a
+     * place, and its caller had better know that at once.
+     */
+    private static final double LATE_WAIT_SHARE = 0.1;
+
     /** Calls with less time than this share of the usual service time are almost never answered in time. */
     private static final double SHORTEST_WORK_SHARE = 0.4;
 
@@ -42,12 +48,16 @@
         if (hopeless(request, serviceNanos, nowNanos + waitNanos)) {
             return false;
         }
-        return waitNanos <= EXPECTED_WAIT_SHARE * useful(request, nowNanos);
+        return waitNanos <= share(request, EXPECTED_WAIT_SHARE, nowNanos) * useful(request, nowNanos);
     }
 
     /** The time by which a call that begins to wait now is refused. */
     public static long waitsUntilNanos(DispatchRequest request, long nowNanos) {
-        return nowNanos + (long) (LONGEST_WAIT_SHARE * useful(request, nowNanos));
+        return nowNanos + (long) (share(request, LONGEST_WAIT_SHARE, nowNanos) * useful(request, nowNanos));
+    }
+
+    private static double share(DispatchRequest request, double onTimeShare, long nowNanos) {
+        return request.targetNanos() - nowNanos > 0 ? onTimeShare : LATE_WAIT_SHARE;
     }
 
     /** The time to the target, or to the deadline for a call that is late already. */
--- a/core/src/main/java/org/sardinepost/core/routing/PlaceChooser.java
+++ b/core/src/main/java/org/sardinepost/core/routing/PlaceChooser.java
@@ -20,10 +20,10 @@
     private static final double LAST_SLOT_COST = 1;
 
     /** Bytes between failure domains are paid for, and the way is a little longer. */
-    private static final double REMOTE_COST = 0.1;
+    private static final double REMOTE_COST = 0.3;
 
     /** Opening a connection takes a millisecond of the upstream's time and is paid for. */
-    private static final double CONNECTION_COST = 0.2;
+    private static final double CONNECTION_COST = 0.3;
 
     /** A program that has just started takes about twice the usual time. */
     private static final double COLD_COST = 1;
@@ -32,7 +32,7 @@
      * Above the sum of what speaks against an idle upstream: its failure domain, its connections and its speed. An upstream
      * that was added to a quiet service would otherwise stay unused, and its speed unknown until the next burst.
      */
-    private static final double UNTRIED_GAIN = 0.6;
+    private static final double UNTRIED_GAIN = 0.9;
 
     /** With one more answer in hand, the probability that every asked host is slowed is a few in a hundred. */
     private static final int ASKED_AT_ONCE = 3;
--- a/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
@@ -81,6 +81,13 @@
             assertThat(replay.onTime).isAtLeast((int) (0.9 * fitting));
             assertThat(replay.late).isLessThan(replay.calls / 10);
         }
+
+        @Test
+        void callersThatAreLateAndCannotBeServedAreToldSoon() {
+            FleetReplay replay = replay(200);
+
+            assertThat(replay.longestLateHoldNanos).isAtMost(100 * MILLIS);
+        }
     }
 
     /** Every upstream refuses half of its calls at random although it has room; callers come back twice. */
--- a/core/src/test/java/org/sardinepost/core/routing/FleetReplay.java
+++ b/core/src/test/java/org/sardinepost/core/routing/FleetReplay.java
@@ -48,6 +48,9 @@
     int refused;
     int returned;
     long longestHoldNanos;
+    /** The same for calls that were late when they arrived. */
+    long longestLateHoldNanos;
+
     final List<Long> retryAfterMillis = new ArrayList<>();
 
     FleetReplay(long seed, int upstreamCount, double slowShare, boolean probes) {
@@ -113,6 +116,9 @@
                     });
                 }
             } else {
+                if (arrived - firstArrived >= targetMillis * MILLIS) {
+                    longestLateHoldNanos = Math.max(longestLateHoldNanos, now - arrived);
+                }
                 refused(
                         arrived,
                         (RefusedException) failure,
--- a/daemon/src/main/java/org/sardinepost/daemon/log/JsonLine.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/JsonLine.java
@@ -27,6 +27,16 @@
         return this;
     }
 
+    /** Adds the members of an object that is JSON already. */
+    public JsonLine addMembers(String json) {
+        String members = json.substring(1, json.length() - 1);
+        if (!members.isEmpty()) {
+            text.append(first ? "" : ",").append(members);
+            first = false;
+        }
+        return this;
+    }
+
     @Override
     public String toString() {
         return text + "}";
--- a/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
@@ -17,6 +17,7 @@
     SETTINGS_FAULTY(11, "SIGHUP: the settings in {} are faulty, those of the start stay in force: {}"),
     HANGUP_NOT_HANDLED(12, "SIGHUP will end this process: {}"),
     ACCEPTING_BEFORE_READY(13, "services and upstreams are not known after {} ms; calls wait for them from now on"),
+    LINES_LEFT_OUT(14, "{} lines of this log were left out, since standard output did not take them in time"),
     CONFIGURATION_ACCEPTED(200, "services text version {} (platform revision {}) is in force, learned from {}"),
     CONFIGURATION_REFUSED(201, "services text of revision {} is refused, version {} stays in force: {}"),
     CONFIGURATION_CONFLICT(202, "{}"),
@@ -42,6 +43,11 @@
     STORE_ITEM_UNREADABLE(220, "item {} of the store cannot be read and is left out: {}"),
     CALL_ENDED(300, "{}");
 
+    /** The length of {@link #code}. */
+    static final int CODE_LENGTH = 6;
+
+    private static final String CODE_PREFIX = "SP-";
+
     private final int number;
     private final String message;
 
@@ -55,6 +61,11 @@
         return String.format("SP-%03d", number);
     }
 
+    /** Whether a line begins with the code of an event. */
+    static boolean isCode(String line) {
+        return line.startsWith(CODE_PREFIX) && line.length() > CODE_LENGTH && line.charAt(CODE_LENGTH) == ' ';
+    }
+
     /** The message with a pair of braces for each argument. */
     public String message() {
         return message;
