--- a/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/AnswerCollector.java
@@ -157,9 +157,10 @@
         return answerBegun ? SendException.Kind.ANSWER_INCOMPLETE : SendException.Kind.CONNECTION_LOST;
     }
 
-    /** A body that ends with its connection may have been cut, so it does not count as whole. */
+    /** Unless the upstreams promise otherwise, a body that ends with its connection may have been cut. */
     private boolean endIsKnown(Response response) {
-        return !hasBody(response)
+        return protocol.closeEndsAnswer()
+                || !hasBody(response)
                 || response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) != NO_LENGTH
                 || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, "chunked");
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
@@ -28,6 +28,15 @@
         return Optional.ofNullable(headers.get(CallHeaders.LOAD)).flatMap(ReportedLoad::parse);
     }
 
+    /**
+     * Whether an answer without a length is whole when its connection ends without a reset.
+     *
+     * <p>Not by default, since a process that ends also closes its connections.
+     */
+    default boolean closeEndsAnswer() {
+        return false;
+    }
+
     /** Upstreams that read and write the daemon's own headers. */
     static UpstreamProtocol own() {
         return new UpstreamProtocol() {
--- a/daemon/src/test/java/org/sardinepost/daemon/AnswerTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/AnswerTest.java
@@ -8,6 +8,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.daemon.call.HeldAnswer;
+import org.sardinepost.daemon.call.HeldRequest;
+import org.sardinepost.daemon.call.UpstreamProtocol;
 
 /** Guards against callers that receive a part of an answer, an altered answer or the answer to another request. */
 final class AnswerTest {
@@ -55,6 +58,56 @@
         }
     }
 
+    /** Upstreams that promise to reset a connection on which they break off. */
+    @Nested
+    final class EndingWithTheConnection {
+        private static final String ANSWER = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc";
+
+        private final UpstreamProtocol protocol = new UpstreamProtocol() {
+            @Override
+            public HeldRequest request(HeldRequest own) {
+                return own;
+            }
+
+            @Override
+            public HeldAnswer answer(HeldRequest sent, HeldAnswer answer) {
+                return answer;
+            }
+
+            @Override
+            public boolean closeEndsAnswer() {
+                return true;
+            }
+        };
+
+        private String call(ScriptedUpstream upstream) throws Exception {
+            DaemonParts parts = DaemonParts.builder().upstreamProtocol(protocol).build();
+            try (Daemon daemon = TestDaemon.start(TestDaemon.settings(), parts, service(upstream))) {
+                return AnswerTest.call("GET", daemon);
+            }
+        }
+
+        @Test
+        void isWholeAfterAClose() throws Exception {
+            try (ScriptedUpstream upstream = ScriptedUpstream.closing(ANSWER)) {
+                String received = call(upstream);
+
+                assertThat(received).startsWith("HTTP/1.1 200 ");
+                assertThat(received).endsWith("\r\n\r\nabc");
+            }
+        }
+
+        @Test
+        void isCutAfterAReset() throws Exception {
+            try (ScriptedUpstream upstream = ScriptedUpstream.resetting(ANSWER)) {
+                String received = call(upstream);
+
+                assertThat(received).startsWith("HTTP/1.1 502 ");
+                assertThat(received).doesNotContain("abc");
+            }
+        }
+    }
+
     @Nested
     final class TooLarge {
         @ParameterizedTest
--- a/daemon/src/test/java/org/sardinepost/daemon/ScriptedUpstream.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ScriptedUpstream.java
@@ -20,29 +20,40 @@
 
     private final ServerSocket listener;
     private final String answer;
-    private final boolean closesAfterAnswer;
+    private final End end;
     private final List<String> heads = new CopyOnWriteArrayList<>();
     private final CompletableFuture<Void> firstConnectionEnded = new CompletableFuture<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
-    private ScriptedUpstream(String answer, boolean closesAfterAnswer) throws IOException {
+    private enum End {
+        NONE,
+        CLOSE,
+        RESET
+    }
+
+    private ScriptedUpstream(String answer, End end) throws IOException {
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.answer = answer;
-        this.closesAfterAnswer = closesAfterAnswer;
+        this.end = end;
         startThread(this::accept);
     }
 
     static ScriptedUpstream keepingConnection(String answer) throws IOException {
-        return new ScriptedUpstream(answer, false);
+        return new ScriptedUpstream(answer, End.NONE);
     }
 
     /** Never answers. */
     static ScriptedUpstream silent() throws IOException {
-        return new ScriptedUpstream("", false);
+        return new ScriptedUpstream("", End.NONE);
     }
 
     static ScriptedUpstream closing(String answer) throws IOException {
-        return new ScriptedUpstream(answer, true);
+        return new ScriptedUpstream(answer, End.CLOSE);
+    }
+
+    /** Sends the answer and then resets the connection instead of closing it. */
+    static ScriptedUpstream resetting(String answer) throws IOException {
+        return new ScriptedUpstream(answer, End.RESET);
     }
 
     private static void startThread(Runnable work) {
@@ -75,7 +86,10 @@
                     heads.add(head.toString());
                     head.setLength(0);
                     out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
-                    if (closesAfterAnswer) {
+                    if (end == End.RESET) {
+                        connection.setSoLinger(true, 0);
+                    }
+                    if (end != End.NONE) {
                         return;
                     }
                 }
--- a/daemon/src/test/java/org/sardinepost/daemon/TestDaemon.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/TestDaemon.java
@@ -23,7 +23,11 @@
     }
 
     static Daemon start(DaemonSettings.Builder settings, Service... services) throws Exception {
-        Daemon daemon = new Daemon(settings.build());
+        return start(settings, DaemonParts.own(), services);
+    }
+
+    static Daemon start(DaemonSettings.Builder settings, DaemonParts parts, Service... services) throws Exception {
+        Daemon daemon = new Daemon(settings.build(), parts);
         daemon.apply(new ServicesText(1, 1, List.of(services)));
         daemon.start();
         return daemon;
