Add sardinepostctl explain

CtlTest.Explain: the way with its cause, names of VMs before the lines, a missing id, unreadable lines.

--- a/ctl/src/main/java/org/sardinepost/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/sardinepost/ctl/CtlMain.java
@@ -12,14 +12,14 @@
 /** Entry point of sardinepostctl. */
 @Command(
         name = "sardinepostctl",
-        description = "Checks and compares services texts, and shows the status of a daemon.",
+        description = "Checks and compares services texts, shows the status of a daemon and explains failed requests.",
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
             "0:all is fine",
-            "1:a text is wrong, or the daemon gave no status",
+            "1:a text is wrong, the daemon gave no status, or a log does not tell",
             "2:usage error, or a file cannot be read"
         },
-        subcommands = {CheckCommand.class, DiffCommand.class, StatusCommand.class})
+        subcommands = {CheckCommand.class, DiffCommand.class, StatusCommand.class, ExplainCommand.class})
 public final class CtlMain implements Callable<Integer> {
     @Option(
             names = {"-h", "--help"},
@@ -42,7 +42,7 @@
 
     @Override
     public Integer call() {
-        throw new ParameterException(spec.commandLine(), "name a command: check, diff or status");
+        throw new ParameterException(spec.commandLine(), "name a command: check, diff, status or explain");
     }
 
     private static int report(Exception failure, CommandLine commandLine, CommandLine.ParseResult parsed)
--- a/ctl/src/test/java/org/sardinepost/ctl/CtlTest.java
+++ b/ctl/src/test/java/org/sardinepost/ctl/CtlTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -206,4 +207,54 @@
             assertThat(err.toString()).contains("check the address against admin-address");
         }
     }
+
+    @Nested
+    class Explain {
+        private static final String CALL =
+                "{\"at\":\"2026-09-06T12:59:20.845Z\",\"level\":\"info\",\"event\":\"SP-300\",\"id\":\"a1\","
+                        + "\"route\":\"r-1\",\"service\":\"status\",\"attempts\":[{\"upstream\":\"10.0.0.1:80\","
+                        + "\"placed-ms\":17,\"took-ms\":595,\"result\":\"FAILED\"}],\"status\":502,"
+                        + "\"outcome\":\"unknown answer-incomplete\",\"took-ms\":620}\n";
+        private static final String EVENT =
+                "{\"at\":\"2026-09-06T12:59:20.100Z\",\"level\":\"info\",\"event\":\"SP-208\","
+                        + "\"message\":\"upstream 10.0.0.1:80 is leaving, known by vm-list\"}\n";
+
+        @Test
+        void tellsTheWayOfARequestWithItsCauseLast() throws IOException {
+            String log = file("one.log", CALL + EVENT);
+            String other = file("other.log", EVENT.replace("10.0.0.1", "10.0.0.2"));
+
+            assertThat(run("explain", "a1", log, other)).isEqualTo(0);
+            List<String> lines = out.toString().lines().toList();
+            assertThat(lines.get(0)).startsWith("2026-09-06T12:59:20.225Z");
+            assertThat(lines.get(1)).contains("SP-208 upstream 10.0.0.1:80 is leaving");
+            assertThat(lines.get(2)).contains("after 17 ms: sent to 10.0.0.1:80, FAILED after 595 ms");
+            assertThat(lines.get(lines.size() - 1)).startsWith("cause: answer-incomplete; remedy: check whether");
+            assertThat(out.toString()).doesNotContain("10.0.0.2");
+        }
+
+        @Test
+        void takesTheNameOfTheVmBeforeTheObject() throws IOException {
+            String log = file("all.log", "  23.8461 front-2 " + CALL + "  23.1 front-3 " + EVENT);
+
+            assertThat(run("explain", "a1", log)).isEqualTo(0);
+            assertThat(out.toString()).contains(" front-2: arrived");
+            assertThat(out.toString()).doesNotContain("SP-208");
+        }
+
+        @Test
+        void saysThatNoLineNamesTheRequest() throws IOException {
+            assertThat(run("explain", "b2", file("one.log", CALL))).isEqualTo(1);
+            assertThat(err.toString()).contains("no line names request b2");
+        }
+
+        @Test
+        void namesLinesThatAreNoLog() throws IOException {
+            assertThat(run("explain", "a1", file("one.log", CALL + "no JSON\n{\"at\":3}\n")))
+                    .isEqualTo(1);
+            assertThat(out.toString()).contains("cause: answer-incomplete");
+            assertThat(err.toString()).contains("2 lines are no JSON lines");
+            assertThat(err.toString()).contains("one.log:2");
+        }
+    }
 }
