--- a/core/src/test/java/org/sardinepost/core/configuration/ReadTurnTest.java
+++ b/core/src/test/java/org/sardinepost/core/configuration/ReadTurnTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -90,14 +91,25 @@
         @Test
         void ofTheFirstReadersAreBridgedWithinTheBound() {
             fleet.run(5_000);
-            fleet.frozen[0] = true;
-            fleet.frozen[1] = true;
-            fleet.frozen[2] = true;
+            freeze(3);
             fleet.run(10_000);
 
             assertThat(fleet.oldestMillis).isAtMost(BOUND_MILLIS);
         }
 
+        @Test
+        void ofHalfOfTheDaemonsAreBridgedWithinTheBound() {
+            fleet.run(5_000);
+            freeze(DAEMONS / 2);
+            fleet.run(10_000);
+
+            assertThat(fleet.oldestMillis).isAtMost(BOUND_MILLIS);
+        }
+
+        private void freeze(int daemons) {
+            Arrays.fill(fleet.frozen, 0, daemons, true);
+        }
+
         @Test
         void ofTheSourceDoNotMakeTheDaemonsAskFasterThanBefore() {
             fleet.run(5_000);
--- a/daemon/src/test/java/org/sardinepost/daemon/control/SharedReadingTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/SharedReadingTest.java
@@ -18,6 +18,7 @@
 final class SharedReadingTest {
     private static final int NODES = 4;
     private static final UpstreamId UPSTREAM = new UpstreamId("127.0.0.1", 7001);
+    private static final UpstreamId ADDED = new UpstreamId("127.0.0.1", 7002);
 
     private final FakePolledSource.Content content = new FakePolledSource.Content();
     private final List<FakeLink> links = new ArrayList<>();
@@ -56,7 +57,11 @@
     }
 
     private static String vm(String state) {
-        return "[vm " + UPSTREAM + "]\nrole = upstream\nservice = booking\nfailure-domain = test-1\nstate = " + state
+        return vm(UPSTREAM, state);
+    }
+
+    private static String vm(UpstreamId upstream, String state) {
+        return "[vm " + upstream + "]\nrole = upstream\nservice = booking\nfailure-domain = test-1\nstate = " + state
                 + "\n";
     }
 
@@ -89,12 +94,18 @@
         for (int i = 0; i < NODES; i++) {
             sources.get(i).refuses = i != reader;
         }
-        content.vmList(vm("leaving"));
+        content.vmList(vm("live") + vm(ADDED, "live"));
         content.text(text(2, "second"));
 
         for (TestNode node : nodes) {
             node.awaitVersion(2);
-            await("the leaving upstream", () -> node.target.leaving.equals(Set.of(UPSTREAM)));
+            await(
+                    "the added upstream",
+                    () -> node.target
+                                    .upstreams
+                                    .getOrDefault("booking", List.of())
+                                    .size()
+                            == 2);
         }
     }
 
