Tell the state to daemons that start while the source is down; believe no placer that knows fewer upstreams

The store answered 503 while VMs were stopped and started in turn. A daemon that started then got the services text from its peers but no VM list, was ready after 1 s, and as the first in the order of that service refused the calls of all daemons with no-upstream. Ruled out: the upstreams (unchanged); the shared reading alone (a daemon that read by itself had no list either). Change: the first two daemons in the order of the readers tell a peer that connects the whole state; a daemon without a VM list is not ready; a no-upstream of a placer is not believed by a daemon that knows upstreams, which then places the call alone. Tests: SharedReadingTest.aDaemonThatStartsWhileTheSourceIsDown..., aDaemonWithout StateIsNotReady, PlacementTest.PlacerWithoutUpstreams.

--- a/core/src/main/java/org/sardinepost/core/configuration/ReadTurn.java
+++ b/core/src/main/java/org/sardinepost/core/configuration/ReadTurn.java
@@ -77,6 +77,11 @@
         }
     }
 
+    /** The age of the state that this daemon holds; it must hold one. */
+    public long ageNanos(long nowNanos) {
+        return nowNanos - stateNanos;
+    }
+
     private static Duration age(int rank) {
         return rank >= LAST_RANK ? LONGEST_AGE : PERIOD.plus(STEP.multipliedBy(rank));
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -260,7 +260,14 @@
     /** The source was read; a daemon that starts and a new text do not wait for the next tick. */
     private void stateRead() {
         exchange.announce();
-        start.tick(peersKnown(), configuration.holder().version());
+        tickStart();
+    }
+
+    /** Without a VM list a daemon could neither serve a call nor place one; peers tell theirs if the source is down. */
+    private void tickStart() {
+        if (reading.isEmpty() || membership.listRead()) {
+            start.tick(peersKnown(), configuration.holder().version());
+        }
     }
 
     private void tick() {
@@ -271,7 +278,7 @@
         exchange.tick();
         peers.dropUnreachable().forEach(messages::gone);
         announcePeers();
-        start.tick(peersKnown(), configuration.holder().version());
+        tickStart();
         status = currentStatus();
     }
 
@@ -358,6 +365,7 @@
             exchange.announce();
             loadSender.connected(address);
             revalidation.connected(peer);
+            reading.ifPresent(source -> source.connected(peer));
         });
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedReading.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedReading.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.sardinepost.core.configuration.CandidateText;
 import org.sardinepost.core.configuration.ReadTurn;
 import org.sardinepost.core.configuration.TextDigest;
@@ -23,6 +24,9 @@
 final class SharedReading {
     private static final long READER_ORDER = RendezvousHash.subject("reader of the source");
 
+    /** One of them may be frozen. */
+    private static final int TELLING_DAEMONS = 2;
+
     private final PolledSource source;
     private final PeerTable peers;
     private final ControlThread control;
@@ -31,6 +35,7 @@
     private final Runnable onRead;
     private final Clock clock;
     private final ReadTurn turn = new ReadTurn();
+    private Optional<String> vmList = Optional.empty();
     private Optional<TextDigest> vmListDigest = Optional.empty();
     private Optional<Awaited> awaited = Optional.empty();
     private long revision;
@@ -86,6 +91,19 @@
                         control);
     }
 
+    /**
+     * A peer connected: it may have started while the source does not answer, so the first daemons in the order tell it the
+     * whole state.
+     */
+    void connected(Peer peer) {
+        if (vmList.isEmpty() || rank(peer) >= TELLING_DAEMONS) {
+            return;
+        }
+        SourceState state = state(vmList.get(), turn.ageNanos(clock.nanos()));
+        var unused =
+                peers.send(peer, PeerMessage.newBuilder().setSourceState(state).build());
+    }
+
     /** A peer has read the source. */
     void received(SourceState state) {
         if (state.getRevision() < revision) {
@@ -122,9 +140,17 @@
     }
 
     private int rank() {
+        return rank(peers.activePeers().stream());
+    }
+
+    /** The rank that this daemon would have without the peer. */
+    private int rank(Peer without) {
+        return rank(peers.activePeers().stream().filter(peer -> peer != without));
+    }
+
+    private int rank(Stream<Peer> others) {
         String own = peers.own().toString();
-        return (int) peers.activePeers().stream()
-                .filter(peer -> RendezvousHash.before(peer.address().toString(), own, READER_ORDER))
+        return (int) others.filter(peer -> RendezvousHash.before(peer.address().toString(), own, READER_ORDER))
                 .count();
     }
 
@@ -163,26 +189,30 @@
     }
 
     /** Whether the list differs from the one before. */
-    private boolean applyVmList(String vmList, long asOfRevision) {
-        TextDigest digest = TextDigest.of(vmList);
+    private boolean applyVmList(String changed, long asOfRevision) {
+        TextDigest digest = TextDigest.of(changed);
         if (vmListDigest.filter(digest::equals).isPresent()) {
             return false;
         }
         vmListDigest = Optional.of(digest);
-        membership.listChanged(new SourceValue(asOfRevision, vmList));
+        vmList = Optional.of(changed);
+        membership.listChanged(new SourceValue(asOfRevision, changed));
         return true;
     }
 
     private void tellPeers(String changedVmList, long askedNanos) {
-        long ageMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanos() - askedNanos);
-        SourceState state = SourceState.newBuilder()
+        SourceState state = state(changedVmList, clock.nanos() - askedNanos);
+        peers.sendToConnected(PeerMessage.newBuilder().setSourceState(state).build());
+    }
+
+    private SourceState state(String toldVmList, long ageNanos) {
+        return SourceState.newBuilder()
                 .setRevision(revision)
-                .setConfigurationRevision(textRevision)
+                .setConfigurationRevision(heldTextRevision())
                 .setVmListDigest(ByteString.copyFrom(vmListDigest.orElseThrow().bytes()))
-                .setVmList(changedVmList)
-                .setAgeMs((int) ageMillis)
+                .setVmList(toldVmList)
+                .setAgeMs((int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(ageNanos)))
                 .build();
-        peers.sendToConnected(PeerMessage.newBuilder().setSourceState(state).build());
     }
 
     /** A text that was refused counts as held, since reading it again changes nothing. */
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/SharedDispatcher.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/SharedDispatcher.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.stream.Collectors;
+import org.sardinepost.core.call.RefusalReason;
+import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.measuring.ProbeCandidate;
 import org.sardinepost.core.routing.Dispatch;
 import org.sardinepost.core.routing.DispatchRequest;
@@ -76,13 +78,20 @@
             granted.finished(DispatchResult.of(DispatchResult.Kind.CANCELLED), nowNanos);
         }
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        if (cause == null || cause instanceof PlacerSilentException) {
+        if (cause == null || cause instanceof PlacerSilentException || knowsLess(cause)) {
             placeAlone(place, request, nowNanos);
         } else {
             place.completeExceptionally(cause);
         }
     }
 
+    /** A placer that has just started may know no upstream where this daemon knows some. */
+    private boolean knowsLess(Throwable refusal) {
+        return !usable.isEmpty()
+                && refusal instanceof RefusedException refused
+                && refused.reason() == RefusalReason.NO_UPSTREAM;
+    }
+
     private void placeAlone(CompletableFuture<Dispatch> place, DispatchRequest request, long nowNanos) {
         if (place.isDone()) {
             return;
--- a/daemon/src/test/java/org/sardinepost/daemon/control/SharedReadingTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/SharedReadingTest.java
@@ -30,7 +30,7 @@
         content.text(text(1, "first"));
         content.vmList(vm("live"));
         for (int i = 0; i < NODES; i++) {
-            add();
+            add(false);
         }
         for (TestNode node : nodes) {
             node.awaitConnected(NODES - 1);
@@ -48,10 +48,11 @@
         }
     }
 
-    private void add() throws Exception {
+    private void add(boolean refuses) throws Exception {
         FakeLink link = new FakeLink();
         links.add(link);
         FakePolledSource source = new FakePolledSource(content);
+        source.refuses = refuses;
         sources.add(source);
         nodes.add(TestNode.start(link, source, links.get(0).address()));
     }
@@ -109,6 +110,29 @@
         }
     }
 
+    @Test
+    void aDaemonThatStartsWhileTheSourceIsDownLearnsTheStateFromItsPeers() throws Exception {
+        sources.forEach(source -> source.refuses = true);
+        add(true);
+        TestNode started = nodes.get(NODES);
+
+        started.awaitReady();
+        assertThat(started.target.version).isEqualTo(1);
+        assertThat(started.target.upstreams.get("booking")).hasSize(1);
+    }
+
+    @Test
+    void aDaemonWithoutStateIsNotReady() throws Exception {
+        FakePolledSource refusing = new FakePolledSource(content);
+        refusing.refuses = true;
+        try (FakeLink link = new FakeLink();
+                TestNode alone = TestNode.start(link, refusing)) {
+            await("three reads", () -> refusing.reads.get() >= 3);
+
+            assertThat(alone.plane.obstacle()).isPresent();
+        }
+    }
+
     @Test
     void theNextDaemonReadsWhenTheReaderIsTurnedAway() throws Exception {
         sources.get(reader()).refuses = true;
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -110,6 +110,17 @@
         }
     }
 
+    @Nested
+    class PlacerWithoutUpstreams {
+        /** It has started while the source of the VM list does not answer. */
+        @Test
+        void isNotBelieved() throws Exception {
+            placer.dispatcher.update(List.of(), System.nanoTime());
+
+            assertThat(acquire(other).upstream()).isEqualTo(UPSTREAM.id());
+        }
+    }
+
     @Nested
     class SilentPlacer {
         @Test
