Correct two comments and a figure that did not say what the code does

Read again: FailureRule has a chance of 1 in 1,000 for ejections where failures are common. With that value the row of 20 is reached at seven failures in ten, not at four in five. ReadTurn promised an age that holds only while the source answers. No code changes.

--- a/core/src/main/java/org/sardinepost/core/configuration/ReadTurn.java
+++ b/core/src/main/java/org/sardinepost/core/configuration/ReadTurn.java
@@ -7,8 +7,8 @@
  *
  * <p>Each read is paid for, and every daemon needs the same state. The first daemon in an order that all of them know reads
  * and tells the others. The next ones wait a little longer each, so that a reader that is frozen, cut off or turned away by
- * the source is replaced within one step, and no daemon acts on a state that is older than {@link #LONGEST_AGE}. Not
- * thread-safe.
+ * the source is replaced within one step. While the source answers, the state gets little older than the age at which every
+ * daemon reads; while it does not, the last state stays. Not thread-safe.
  */
 public final class ReadTurn {
     /** Age at which the first daemon reads again; with a failed reader and a tick it stays far below two seconds. */
--- a/core/src/main/java/org/sardinepost/core/routing/FailureRule.java
+++ b/core/src/main/java/org/sardinepost/core/routing/FailureRule.java
@@ -16,7 +16,7 @@
 
     private static final double CHANCE_IF_COMMON = 0.001;
 
-    /** Reached where four of five calls fail everywhere; an upstream that fails more often than that is still found. */
+    /** Reached where seven of ten calls fail everywhere; an upstream that fails every call is still found. */
     private static final int MAX_IN_A_ROW = 20;
 
     private double sumOfShares;
