Send peer addresses and VM list changes instead of whole lists

A change of one upstream sent the whole VM list to every peer, and any daemon that saw few peers yet sent the whole state to each peer that connected.

The whole list is compressed and sent only on request. A task on the control thread that fails with an Error no longer ends the repeated tasks without notice.

--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlComponents.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlComponents.java
@@ -10,6 +10,7 @@
 record ControlComponents(
         ControlThread control,
         PeerTable peers,
+        PeerDiscovery discovery,
         HeldIncarnations heldIncarnations,
         Supplier<Hello> localHello,
         ConfigurationExchange exchange,
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -12,7 +12,6 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.sardinepost.core.configuration.AcceptedText;
@@ -60,6 +59,7 @@
     private final HeldIncarnations heldIncarnations;
     private final PeerTransport transport;
     private final PeerTable peers;
+    private final PeerDiscovery discovery;
     private final ConfigurationController configuration;
     private final ConfigurationExchange exchange;
     private final MembershipController membership;
@@ -70,8 +70,6 @@
     private final Revalidation revalidation;
     private final Placement placement;
     private final PeerMessageHandler messageHandler;
-    private Set<UpstreamId> announcedPeers = Set.of();
-    private volatile List<String> connectedPeerAddresses = List.of();
     private final Optional<SharedSourceReader> sourceReader;
     private final Optional<ValueSource> configurationSource;
     private final Optional<SourceWatch> vmWatch;
@@ -96,6 +94,7 @@
         transport = new PeerTransport(this::localHello, listener(), counters, builder.timings, random);
         ByteBudget budget = new ByteBudget(loadBytesPerSecond(builder), clock.nanos());
         peers = new PeerTable(this::peerAddress, transport::connect, budget, clock);
+        discovery = new PeerDiscovery(peers);
         configuration = new ConfigurationController(
                 this::peerAddress,
                 new ConfigurationHolder(builder.textReader),
@@ -124,6 +123,7 @@
         messageHandler = new PeerMessageHandler(new ControlComponents(
                 control,
                 peers,
+                discovery,
                 heldIncarnations,
                 this::localHello,
                 exchange,
@@ -193,6 +193,10 @@
         return peerAddress;
     }
 
+    PeerCounters peerCounters() {
+        return counters;
+    }
+
     int listeningPort() {
         return server.map(PeerServer::port).orElse(0);
     }
@@ -290,24 +294,11 @@
         sourceReader.ifPresent(SharedSourceReader::tick);
         exchange.tick();
         peers.dropUnreachable().forEach(messageHandler::removeIncarnation);
-        announceConnectedPeers();
+        discovery.tick();
         tickStartup();
         status = currentStatus();
     }
 
-    /** Sends the list of connected peers to all of them after a new connection, so that peers discover each other. */
-    private void announceConnectedPeers() {
-        Set<UpstreamId> connected =
-                peers.connected().stream().map(Peer::address).collect(Collectors.toSet());
-        if (!announcedPeers.containsAll(connected)) {
-            announcedPeers = connected;
-            connectedPeerAddresses =
-                    connected.stream().map(UpstreamId::toString).toList();
-            peers.sendToConnected(
-                    PeerMessage.newBuilder().setHello(localHello()).build());
-        }
-    }
-
     private boolean allPeersKnown() {
         return settings.vms().kind() == Source.Kind.NONE || membership.vmListRead();
     }
@@ -381,19 +372,20 @@
             exchange.announce();
             loadSender.resetPeer(address);
             revalidation.peerConnected(peer);
-            sourceReader.ifPresent(source -> source.sendStateTo(peer));
+            discovery.peerConnected(peer);
+            sourceReader.ifPresent(source -> source.peerConnected(peer));
         });
     }
 
     private void handleHello(UpstreamId address, Hello hello) {
         peers.handleHello(address, hello).ifPresent(messageHandler::removeIncarnation);
-        peers.addDiscovered(hello.getConnectedPeersList());
     }
 
     private void handleDisconnected(UpstreamId address) {
         peers.find(address).ifPresent(peer -> {
             peer.markDisconnected(clock.nanos());
             peers.publishSnapshots();
+            discovery.peerDisconnected(peer);
             placement.peerDisconnected(address);
             peer.hello().map(Hello::getIncarnation).ifPresent(messageHandler::removeIncarnation);
             LogEvent.PEER_LOST.info(address);
@@ -409,7 +401,6 @@
                 .setFailureDomain(settings.failureDomain())
                 .setRegion(settings.region())
                 .addAllHeldIncarnations(heldIncarnations.all())
-                .addAllConnectedPeers(connectedPeerAddresses)
                 .build();
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlThread.java
@@ -9,8 +9,8 @@
 import org.sardinepost.daemon.log.LogEvent;
 
 /**
- * The single thread that runs all control plane tasks. An exception in one task is logged and does not affect the
- * others.
+ * The single thread that runs all control plane tasks. An exception or error in one task is logged and does not affect
+ * the others: the executor would otherwise end a repeated task without notice.
  */
 public final class ControlThread implements Executor, AutoCloseable {
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
@@ -48,7 +48,7 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (Throwable e) {
                 LogEvent.CONTROL_THREAD_ERROR.error(e, e.toString());
             }
         };
--- a/daemon/src/main/java/org/sardinepost/daemon/control/Digests.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/Digests.java
@@ -17,9 +17,11 @@
         return digests.stream().map(Digests::fromWire).toList();
     }
 
+    static ByteString toWire(TextDigest digest) {
+        return ByteString.copyFrom(digest.bytes());
+    }
+
     static List<ByteString> toWire(Collection<TextDigest> digests) {
-        return digests.stream()
-                .map(digest -> ByteString.copyFrom(digest.bytes()))
-                .toList();
+        return digests.stream().map(Digests::toWire).toList();
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
@@ -47,6 +47,9 @@
             case SOURCE_STATE -> components
                     .sourceReader()
                     .ifPresent(reader -> reader.handleState(message.getSourceState()));
+            case SOURCE_STATE_REQUEST -> components.sourceReader().ifPresent(reader -> reader.handleStateRequest(peer));
+            case PEERS_REQUEST -> components.discovery().handleRequest(peer);
+            case PEER_ADDRESSES -> components.discovery().handleAddresses(message.getPeerAddresses());
             case HELLO, HEARTBEAT, BODY_NOT_SET -> {}
         }
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -1,31 +1,39 @@
 package org.sardinepost.daemon.control;
 
-import com.google.protobuf.ByteString;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.sardinepost.core.configuration.CandidateText;
 import org.sardinepost.core.configuration.ReadSchedule;
 import org.sardinepost.core.configuration.TextDigest;
 import org.sardinepost.core.configuration.TextOrigin;
 import org.sardinepost.core.membership.RendezvousHash;
+import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.daemon.log.LogEvent;
 import org.sardinepost.peer.generated.PeerMessage;
 import org.sardinepost.peer.generated.SourceState;
+import org.sardinepost.peer.generated.SourceStateRequest;
 
 /**
  * Keeps the services text and the VM list up to date from a source that one daemon reads on behalf of all.
  *
- * <p>After each read, that daemon sends the revision of the source to its peers, with the VM list if it has changed. A
- * peer that lacks a change, because a message was lost or it has just started, detects this by the digest and reads the
- * source itself when {@link ReadSchedule} allows it. All state is confined to the control thread.
+ * <p>After each read, that daemon sends the revision of the source to its peers, with the change of the VM list if there
+ * is one. A peer that lacks a change, because a message was lost, detects this by the digest and reads the source itself
+ * when {@link ReadSchedule} allows it. A daemon that has just started requests the whole state from its peers. All state
+ * is confined to the control thread.
  */
 final class SharedSourceReader {
     private static final long READER_KEY = RendezvousHash.keyOf("reader of the source");
 
-    /** The number of first-ranked daemons that send the state to a new peer; two, since one may be frozen. */
-    private static final int STATE_SENDERS = 2;
+    /** The number of peers that a daemon without state asks at once; more than one, since one may be frozen. */
+    private static final int INITIAL_STATE_REQUESTS = 2;
+
+    private static final PeerMessage STATE_REQUEST = PeerMessage.newBuilder()
+            .setSourceStateRequest(SourceStateRequest.getDefaultInstance())
+            .build();
 
     private final PolledSource source;
     private final PeerTable peers;
@@ -35,8 +43,9 @@
     private final Runnable onRead;
     private final Clock clock;
     private final ReadSchedule readSchedule = new ReadSchedule();
-    private Optional<String> vmList = Optional.empty();
-    private Optional<TextDigest> vmListDigest = Optional.empty();
+    private final Set<UpstreamId> askedPeers = new HashSet<>();
+    private final Set<UpstreamId> peersAwaitingState = new HashSet<>();
+    private Optional<VmListText> vmList = Optional.empty();
     private Optional<PendingState> pendingState = Optional.empty();
     private long revision;
     private long textRevision;
@@ -67,6 +76,9 @@
             readSchedule.stateReceived(state.asOfNanos());
             pendingState = Optional.empty();
         });
+        if (vmList.isEmpty()) {
+            requestStateFromNextPeer();
+        }
         if (readSchedule.due(rank(), now)) {
             read(() -> {}, () -> {});
         }
@@ -91,29 +103,26 @@
                         control);
     }
 
-    /**
-     * Sends the whole state to a peer that connected, if this daemon is among the first-ranked ones. The peer may have
-     * started while the source is down.
-     */
-    void sendStateTo(Peer peer) {
-        if (vmList.isEmpty() || rank(peer) >= STATE_SENDERS) {
-            return;
+    /** Requests the state from a peer that connected, if this daemon has none. The source may be down. */
+    void peerConnected(Peer peer) {
+        if (vmList.isEmpty() && askedPeers.size() < INITIAL_STATE_REQUESTS) {
+            requestState(peer);
         }
-        SourceState state = stateMessage(vmList.get(), readSchedule.ageNanos(clock.nanos()));
-        var unused =
-                peers.send(peer, PeerMessage.newBuilder().setSourceState(state).build());
     }
 
-    /** Applies the state that a peer sent after a read of the source. */
+    /** Sends the whole state to a peer, as soon as this daemon has one. */
+    void handleStateRequest(Peer peer) {
+        vmList.ifPresentOrElse(list -> sendState(peer, list), () -> peersAwaitingState.add(peer.address()));
+    }
+
+    /** Applies the state that a peer sent. */
     void handleState(SourceState state) {
         if (state.getRevision() < revision) {
             return;
         }
-        if (!state.getVmList().isEmpty()) {
-            applyVmList(state.getVmList(), state.getRevision());
-        }
+        SourceStateCodec.decode(state, vmList).ifPresent(list -> applyVmList(list, state.getRevision()));
         TextDigest sentDigest = Digests.fromWire(state.getVmListDigest());
-        if (vmListDigest.filter(sentDigest::equals).isEmpty()) {
+        if (vmList.filter(list -> list.digest().equals(sentDigest)).isEmpty()) {
             return;
         }
         revision = state.getRevision();
@@ -123,6 +132,7 @@
         } else {
             pendingState = Optional.of(new PendingState(state.getConfigurationRevision(), asOf));
         }
+        sendStateToAwaitingPeers();
     }
 
     /** Returns whether the last read by this daemon failed. */
@@ -139,20 +149,28 @@
         source.close();
     }
 
-    private int rank() {
-        return rank(peers.activePeers().stream());
+    /** Asks one peer after the other, since a peer may be frozen or have no state either. */
+    private void requestStateFromNextPeer() {
+        List<Peer> connected = peers.connected();
+        Optional<Peer> next = connected.stream()
+                .filter(peer -> !askedPeers.contains(peer.address()))
+                .findFirst();
+        if (next.isEmpty()) {
+            askedPeers.clear();
+        }
+        next.ifPresent(this::requestState);
     }
 
-    /** Returns the rank that this daemon has if the given peer is not counted. */
-    private int rank(Peer excluded) {
-        return rank(peers.activePeers().stream().filter(peer -> peer != excluded));
+    private void requestState(Peer peer) {
+        askedPeers.add(peer.address());
+        var unused = peers.send(peer, STATE_REQUEST);
     }
 
-    private int rank(Stream<Peer> others) {
+    private int rank() {
         String own = peers.localAddress().toString();
-        return (int)
-                others.filter(peer -> RendezvousHash.precedes(peer.address().toString(), own, READER_KEY))
-                        .count();
+        return (int) peers.activePeers().stream()
+                .filter(peer -> RendezvousHash.precedes(peer.address().toString(), own, READER_KEY))
+                .count();
     }
 
     private void handleSnapshot(SourceSnapshot snapshot, long startNanos) {
@@ -167,10 +185,12 @@
         }
         revision = snapshot.revision();
         snapshot.servicesText().ifPresent(this::applyText);
-        boolean first = vmListDigest.isEmpty();
-        boolean vmListChanged = applyVmList(snapshot.vmList(), snapshot.revision());
+        Optional<VmListText> previous = vmList;
+        VmListText read = VmListText.of(snapshot.vmList());
+        applyVmList(read, snapshot.revision());
         onRead.run();
-        broadcastState(vmListChanged && !first ? snapshot.vmList() : "", startNanos);
+        broadcastState(previous, read, startNanos);
+        sendStateToAwaitingPeers();
     }
 
     private void handleFailure(Throwable failure) {
@@ -189,31 +209,43 @@
         }
     }
 
-    /** Applies the VM list and returns true if it differs from the previous one. */
-    private boolean applyVmList(String newVmList, long asOfRevision) {
-        TextDigest digest = TextDigest.of(newVmList);
-        if (vmListDigest.filter(digest::equals).isPresent()) {
-            return false;
+    private void applyVmList(VmListText newVmList, long asOfRevision) {
+        if (vmList.filter(newVmList::equals).isPresent()) {
+            return;
         }
-        vmListDigest = Optional.of(digest);
         vmList = Optional.of(newVmList);
-        membership.applyVmList(new SourceValue(asOfRevision, newVmList));
-        return true;
+        askedPeers.clear();
+        membership.applyVmList(new SourceValue(asOfRevision, newVmList.content()));
     }
 
-    private void broadcastState(String changedVmList, long startNanos) {
-        SourceState state = stateMessage(changedVmList, clock.nanos() - startNanos);
+    /** Tells the peers what was read. A peer that does not hold the previous VM list reads the source itself. */
+    private void broadcastState(Optional<VmListText> previous, VmListText current, long startNanos) {
+        SourceState.Builder state = stateMessage(current, clock.nanos() - startNanos);
+        previous.filter(base -> !base.equals(current))
+                .ifPresent(base -> state.setVmListChange(SourceStateCodec.encodeChange(base, current)));
         peers.sendToConnected(PeerMessage.newBuilder().setSourceState(state).build());
     }
 
-    private SourceState stateMessage(String sentVmList, long ageNanos) {
+    private void sendStateToAwaitingPeers() {
+        peersAwaitingState.stream()
+                .flatMap(address -> peers.find(address).stream())
+                .forEach(peer -> sendState(peer, vmList.orElseThrow()));
+        peersAwaitingState.clear();
+    }
+
+    private void sendState(Peer peer, VmListText list) {
+        SourceState.Builder state = stateMessage(list, readSchedule.ageNanos(clock.nanos()))
+                .setVmListDeflated(SourceStateCodec.compress(list.content()));
+        var unused =
+                peers.send(peer, PeerMessage.newBuilder().setSourceState(state).build());
+    }
+
+    private SourceState.Builder stateMessage(VmListText list, long ageNanos) {
         return SourceState.newBuilder()
                 .setRevision(revision)
                 .setConfigurationRevision(heldTextRevision())
-                .setVmListDigest(ByteString.copyFrom(vmListDigest.orElseThrow().bytes()))
-                .setVmList(sentVmList)
-                .setAgeMs((int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(ageNanos)))
-                .build();
+                .setVmListDigest(Digests.toWire(list.digest()))
+                .setAgeMs((int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(ageNanos)));
     }
 
     /**
--- a/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
@@ -7,11 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.peer.MessageKind;
 
 /**
  * Guards against every daemon reading the source itself, and against daemons that miss a change read by another one.
@@ -19,6 +22,7 @@
 @Timeout(120)
 final class SharedSourceReaderTest {
     private static final int NODES = 4;
+    private static final int LARGE_FLEET = 167;
     private static final UpstreamId UPSTREAM = new UpstreamId("127.0.0.1", 7001);
     private static final UpstreamId ADDED = new UpstreamId("127.0.0.1", 7002);
 
@@ -112,6 +116,36 @@
         }
     }
 
+    @Test
+    void aChangeOfOneUpstreamOfALargeFleetIsSentWithoutTheOthers() throws Exception {
+        String fleet = vm("live")
+                + IntStream.range(8_001, 8_000 + LARGE_FLEET)
+                        .mapToObj(port -> vm(new UpstreamId("127.0.0.1", port), "live"))
+                        .collect(Collectors.joining());
+        content.vmList(fleet);
+        for (TestNode node : nodes) {
+            await("the fleet", () -> upstreams(node) == LARGE_FLEET);
+        }
+        long bytesBefore = sourceStateBytes();
+
+        content.vmList(fleet + vm(ADDED, "live"));
+        for (TestNode node : nodes) {
+            await("the added upstream", () -> upstreams(node) == LARGE_FLEET + 1);
+        }
+
+        assertThat(sourceStateBytes() - bytesBefore).isLessThan(fleet.length());
+    }
+
+    private static int upstreams(TestNode node) {
+        return node.target.upstreams.getOrDefault("booking", List.of()).size();
+    }
+
+    private long sourceStateBytes() {
+        return nodes.stream()
+                .mapToLong(node -> node.plane.peerCounters().sentBytes(MessageKind.SOURCE_STATE))
+                .sum();
+    }
+
     @Test
     void aDaemonThatStartsWhileTheSourceIsDownGetsTheStateFromItsPeers() throws Exception {
         sources.forEach(source -> source.failing = true);
--- a/peer/src/main/java/org/sardinepost/peer/MessageKind.java
+++ b/peer/src/main/java/org/sardinepost/peer/MessageKind.java
@@ -18,6 +18,9 @@
     PLACE_ANSWER,
     PLACE_END,
     SOURCE_STATE,
+    PEERS_REQUEST,
+    PEER_ADDRESSES,
+    SOURCE_STATE_REQUEST,
     /** A message without a body, or with one that is unknown to this version. */
     OTHER;
 
@@ -36,6 +39,9 @@
             case PLACE_ANSWER -> PLACE_ANSWER;
             case PLACE_END -> PLACE_END;
             case SOURCE_STATE -> SOURCE_STATE;
+            case PEERS_REQUEST -> PEERS_REQUEST;
+            case PEER_ADDRESSES -> PEER_ADDRESSES;
+            case SOURCE_STATE_REQUEST -> SOURCE_STATE_REQUEST;
             case BODY_NOT_SET -> OTHER;
         };
     }
