Dispatch idempotent pipelined requests without waiting for earlier responses

Cause: the HTTP server handles the requests of one connection one after the other, so a request sent ahead waited for the whole of the one before it. A connection with bytes read ahead was also no longer watched for a disconnect.

Change: CallerEndPoint keeps the bytes after the head that the server handles (ReadAheadBuffer). Where the boundary of a request is not certain, or a request has a body, closes the connection or is not idempotent, it waits for its turn as before. Calls that the end of the connection leaves unclaimed are cancelled.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
@@ -4,20 +4,16 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
-import org.sardinepost.core.call.CallContext;
-import org.sardinepost.core.call.CallerCheck;
 import org.sardinepost.core.call.Outcome;
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
-import org.sardinepost.core.text.Route;
-import org.sardinepost.core.text.Service;
 import org.sardinepost.daemon.log.CallRecord;
 import org.sardinepost.daemon.log.LogEvent;
 
@@ -42,7 +38,8 @@
     private final HeldBytesReservation reservation;
     private final CallTimer timer;
     private final CallRecord record;
-    private final DisconnectWatch disconnectWatch;
+    private final CallerConnection connection;
+    private final Optional<PipelinedCall> pipelinedCall;
     private final AtomicBoolean responseReady = new AtomicBoolean();
     private final CompletableFuture<BufferedResponse> responseFuture = new CompletableFuture<>();
     private volatile String serviceName = "";
@@ -57,10 +54,13 @@
         this.response = response;
         this.callback = callback;
         this.requestHead = new RequestHead(request);
-        this.disconnectWatch = new DisconnectWatch(request);
-        this.reservation = dependencies.heldBytes().openReservation();
-        this.timer = new CallTimer(dependencies.now());
-        this.record = new CallRecord(timer.arrivalNanos());
+        this.connection = new CallerConnection(request);
+        this.pipelinedCall = connection.claim(requestHead);
+        this.reservation = pipelinedCall
+                .map(PipelinedCall::reservation)
+                .orElseGet(() -> dependencies.heldBytes().openReservation());
+        this.timer = pipelinedCall.map(PipelinedCall::timer).orElseGet(() -> new CallTimer(dependencies.now()));
+        this.record = pipelinedCall.map(PipelinedCall::record).orElseGet(() -> new CallRecord(timer.arrivalNanos()));
     }
 
     void start() {
@@ -108,34 +108,38 @@
     }
 
     private void admit() {
-        requestHead.validate();
-        CallDestination destination = destination(requestHead.host());
-        serviceName = destination.service().name();
-        record.setTarget(destination.route().map(Route::name).orElse(""), serviceName);
-        CallContext context = requestHead.context();
-        checkCaller(destination.service(), context);
-        long deadlineNanos = deadlineNanos(destination);
+        CallTerms terms = pipelinedCall.map(PipelinedCall::terms).orElseGet(this::evaluateHead);
+        serviceName = terms.serviceName();
         Scheduler.Task deadline = dependencies
                 .scheduler()
                 .schedule(
-                        this::expire, deadlineNanos + DEADLINE_GRACE_NANOS - dependencies.now(), TimeUnit.NANOSECONDS);
+                        this::expire,
+                        terms.deadlineNanos() + DEADLINE_GRACE_NANOS - dependencies.now(),
+                        TimeUnit.NANOSECONDS);
+        completeWith(pipelinedCall.isPresent() ? awaitPipelinedCall() : readBodyAndDispatch(terms), deadline);
+    }
+
+    private CallTerms evaluateHead() {
+        CallDestination destination = CallTerms.destination(dependencies, requestHead);
+        serviceName = destination.service().name();
+        record.setTarget(destination.routeName(), serviceName);
+        return CallTerms.of(dependencies, requestHead, destination, timer.arrivalNanos());
+    }
+
+    private CompletableFuture<BufferedResponse> awaitPipelinedCall() {
+        return passToGuard(() -> pipelinedCall.orElseThrow().response());
+    }
+
+    private CompletableFuture<BufferedResponse> readBodyAndDispatch(CallTerms terms) {
         timer.startWaiting(dependencies.now());
         CompletableFuture<ByteBuffer> body =
                 RequestBodyReader.read(request, dependencies.requestLimitBytes(), reservation);
-        CompletableFuture<BufferedResponse> guardedResponse = body.thenCompose(bufferedBody -> {
+        return body.thenCompose(bufferedBody -> {
             timer.stopWaiting(dependencies.now());
-            return passToGuard(new Call(
-                    destination,
-                    bufferedRequest(bufferedBody),
-                    context,
-                    deadlineNanos,
-                    latencyTargetNanos(destination, deadlineNanos),
-                    idempotent(destination),
-                    destination.maxAttempts(context),
-                    requestHead.forwardedBy(),
-                    record));
+            Call call = terms.call(bufferedRequest(bufferedBody), record);
+            return passToGuard(
+                    () -> dependencies.guard().handle(call, new CallSender(dependencies, call, reservation, timer)));
         });
-        completeWith(guardedResponse, deadline);
     }
 
     private void completeWith(CompletableFuture<BufferedResponse> guardedResponse, Scheduler.Task deadline) {
@@ -149,55 +153,6 @@
         var unusedToo = responseFuture.whenComplete((buffered, failure) -> deadline.cancel());
     }
 
-    private CallDestination destination(String host) {
-        double randomFraction = ThreadLocalRandom.current().nextDouble();
-        return dependencies
-                .registry()
-                .resolve(host, requestHead.path(), randomFraction)
-                .orElseThrow(() -> new RefusedException(
-                        RefusalReason.UNKNOWN_SERVICE, "no service or route matches host " + host + " and this path"));
-    }
-
-    private void checkCaller(Service called, CallContext context) {
-        Optional<Service> calling = context.callingService()
-                .flatMap(dependencies.registry()::findService)
-                .map(RegisteredService::service);
-        Optional<RefusedException> refusal = CallerCheck.refusal(called, context, calling);
-        if (refusal.isPresent()) {
-            throw refusal.get();
-        }
-    }
-
-    private long deadlineNanos(CallDestination destination) {
-        long allowedNanos = destination.timeLimit().toNanos();
-        Optional<Long> remainingMillis = requestHead.remainingMillis();
-        if (remainingMillis.isPresent()) {
-            allowedNanos = Math.min(allowedNanos, TimeUnit.MILLISECONDS.toNanos(remainingMillis.get()));
-        }
-        if (allowedNanos <= 0) {
-            throw new RefusedException(
-                    RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call arrived after its deadline");
-        }
-        return timer.arrivalNanos() + allowedNanos;
-    }
-
-    /**
-     * Returns the time of the latency target, which counts from the first attempt of the caller and may thus lie in the
-     * past.
-     */
-    private long latencyTargetNanos(CallDestination destination, long deadlineNanos) {
-        long waitedNanos = requestHead
-                .remainingMillis()
-                .map(millis -> dependencies
-                        .priorWaitEstimator()
-                        .estimateNanos(
-                                destination.routeName(), TimeUnit.MILLISECONDS.toNanos(millis), timer.arrivalNanos()))
-                .orElse(0L);
-        long latencyTargetNanos =
-                timer.arrivalNanos() + destination.targetLatency().toNanos() - waitedNanos;
-        return Math.min(deadlineNanos, latencyTargetNanos);
-    }
-
     private BufferedRequest bufferedRequest(ByteBuffer body) {
         return new BufferedRequest(
                 request.getMethod(),
@@ -207,29 +162,18 @@
                 requestHead.hasBodyFraming() || body.hasRemaining());
     }
 
-    private boolean idempotent(CallDestination destination) {
-        return destination.route().map(Route::idempotent).orElseGet(() -> idempotent(destination.service()));
-    }
-
-    private boolean idempotent(Service service) {
-        return requestHead
-                .unambiguousPath()
-                .map(requestPath -> service.idempotent(request.getMethod(), requestPath))
-                .orElseGet(() -> service.idempotentMethods().contains(request.getMethod()));
-    }
-
-    private CompletableFuture<BufferedResponse> passToGuard(Call call) {
+    /** Starts the dispatch, or takes over the one that is running, unless the call has already ended. */
+    private CompletableFuture<BufferedResponse> passToGuard(Supplier<CompletableFuture<BufferedResponse>> dispatch) {
         if (responseFuture.isDone() || !dispatchClaimed.compareAndSet(false, true)) {
             return CompletableFuture.failedFuture(new RefusedException(
                     RefusalReason.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "the call has already ended"));
         }
         handedToGuard = true;
-        disconnectWatch.start(() -> responseFuture.cancel(false));
+        connection.watch(dependencies, requestHead, () -> responseFuture.cancel(false));
         if (responseFuture.isDone()) {
-            disconnectWatch.stop();
+            connection.stopWatching();
         }
-        CompletableFuture<BufferedResponse> guardedResponse =
-                dependencies.guard().handle(call, new CallSender(dependencies, call, reservation, timer));
+        CompletableFuture<BufferedResponse> guardedResponse = dispatch.get();
         var unused = responseFuture.whenComplete((buffered, failure) -> guardedResponse.cancel(false));
         return guardedResponse;
     }
@@ -242,7 +186,8 @@
 
     private void finish(BufferedResponse buffered, Throwable failure) {
         responseReady.set(true);
-        disconnectWatch.stop();
+        connection.stopWatching();
+        pipelinedCall.ifPresent(call -> call.response().cancel(false));
         BufferedResponse finalResponse = failure == null
                 ? buffered
                 : dependencies.localResponseTranslator().apply(LocalResponses.of(refusal(failure)));
--- a/daemon/src/main/java/org/sardinepost/daemon/call/BufferedRequest.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/BufferedRequest.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.Objects;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.util.BufferUtil;
 
 /**
  * A request that was received completely.
@@ -21,6 +22,11 @@
         body = body.asReadOnlyBuffer();
     }
 
+    static BufferedRequest withoutBody(RequestHead head) {
+        return new BufferedRequest(
+                head.method(), head.target(), EndToEndHeaders.of(head.headers()), BufferUtil.EMPTY_BUFFER, false);
+    }
+
     /** Returns a view of the body at its start, with an independent position. */
     @Override
     public ByteBuffer body() {
--- /dev/null
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerConnection.java
@@ -0,0 +1,36 @@
+package org.sardinepost.daemon.call;
+
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Request;
+
+/**
+ * The connection of one request: detects that an HTTP/1 caller disconnects and finds the requests that it sends ahead. With
+ * HTTP/2 the server does both itself.
+ */
+final class CallerConnection {
+    private final Optional<CallerEndPoint> endPoint;
+
+    CallerConnection(Request request) {
+        EndPoint connected = request.getConnectionMetaData().getConnection().getEndPoint();
+        HttpVersion version = request.getConnectionMetaData().getHttpVersion();
+        boolean isHttp1 = version.getVersion() < HttpVersion.HTTP_2.getVersion();
+        this.endPoint = isHttp1 && connected instanceof CallerEndPoint caller ? Optional.of(caller) : Optional.empty();
+    }
+
+    /** Returns the call of this request if it was dispatched while the caller waited for earlier responses. */
+    Optional<PipelinedCall> claim(RequestHead head) {
+        return endPoint.flatMap(caller -> caller.pipeline().claim(head));
+    }
+
+    /** Watches the connection until {@link #stopWatching}, and dispatches idempotent requests that are sent ahead. */
+    void watch(CallDependencies dependencies, RequestHead head, Runnable onDisconnect) {
+        endPoint.ifPresent(caller -> caller.watch(
+                onDisconnect, () -> caller.pipeline().dispatch(dependencies, head, caller::nextRequestHead)));
+    }
+
+    void stopWatching() {
+        endPoint.ifPresent(CallerEndPoint::unwatch);
+    }
+}
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
@@ -4,27 +4,31 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.sardinepost.daemon.http.ReadAheadBuffer;
 
 /**
- * A caller connection that can be monitored for a close by the caller while a call is in progress.
+ * A caller connection that can be read while a call is in progress.
  *
- * <p>The HTTP/1.1 server does not read between the end of a request and its response, so it does not notice that a caller
- * disconnects. A watch reads ahead for this purpose; bytes of a pipelined request are kept for the next read of the server.
+ * <p>The HTTP/1.1 server does not read between the end of a request and its response, so it notices neither that a caller
+ * disconnects nor that it sends further requests. A watch reads ahead for this purpose; the bytes are kept for the next
+ * read of the server.
  */
 public final class CallerEndPoint extends SocketChannelEndPoint {
-    private static final int READ_AHEAD_BYTES = 2048;
+    /** Bounds the requests that a caller can send ahead; further bytes stay in the socket. */
+    private static final int READ_AHEAD_BYTES = 4 << 10;
 
     private final Executor executor;
+    private final CallPipeline pipeline = new CallPipeline();
     private final Object lock = new Object();
-    private ByteBuffer readAhead = BufferUtil.EMPTY_BUFFER;
-    private CloseWatch watch;
+    private final ReadAheadBuffer readAhead = new ReadAheadBuffer(READ_AHEAD_BYTES);
+    private ConnectionWatch watch;
 
     public CallerEndPoint(
             SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
@@ -32,16 +36,26 @@
         this.executor = executor;
     }
 
-    /** Runs the action once if the caller closes the connection before {@link #unwatch}. */
-    void watch(Runnable onClose) {
+    /** Returns the calls that were dispatched for requests sent ahead. */
+    CallPipeline pipeline() {
+        return pipeline;
+    }
+
+    /**
+     * Reads ahead until {@link #unwatch}.
+     *
+     * @param onClose run once if the caller closes the connection
+     * @param onReadAhead run whenever bytes of further requests were read
+     */
+    void watch(Runnable onClose, Runnable onReadAhead) {
+        boolean hasBytes;
         synchronized (lock) {
-            if (readAhead.hasRemaining()) {
-                return;
-            }
-            watch = new CloseWatch(onClose);
-            if (!tryFillInterested(watch)) {
-                watch = null;
-            }
+            watch = new ConnectionWatch(onClose, onReadAhead);
+            readMoreWhenAvailable(watch);
+            hasBytes = !readAhead.isEmpty();
+        }
+        if (hasBytes) {
+            onReadAhead.run();
         }
     }
 
@@ -55,54 +69,95 @@
         }
     }
 
+    /** Returns the head of the next request that was read ahead and that this method has not returned yet. */
+    Optional<ByteBuffer> nextRequestHead() {
+        synchronized (lock) {
+            return readAhead.nextHead();
+        }
+    }
+
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (lock) {
-            return readAhead.hasRemaining() ? BufferUtil.append(buffer, readAhead) : super.fill(buffer);
+            if (!readAhead.isEmpty()) {
+                return readAhead.transferTo(buffer);
+            }
+            int filled = super.fill(buffer);
+            return filled > 0 ? readAhead.retainSurplus(buffer, filled) : filled;
         }
     }
 
     @Override
     protected void needsFillInterest() {
-        if (hasReadAhead()) {
+        if (serverCanRead()) {
             executor.execute(() -> getFillInterest().fillable());
         } else {
             super.needsFillInterest();
         }
     }
 
-    private boolean hasReadAhead() {
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        pipeline.close();
+    }
+
+    /** Returns whether bytes were read ahead for the server. A watch waits for further bytes from the connection. */
+    private boolean serverCanRead() {
         synchronized (lock) {
-            return readAhead.hasRemaining();
+            return watch == null && !readAhead.isEmpty();
         }
     }
 
-    private boolean readAheadReachesEnd(CloseWatch firedWatch) throws IOException {
+    private void readMoreWhenAvailable(ConnectionWatch current) {
+        if (readAhead.isFull() || !tryFillInterested(current)) {
+            watch = null;
+        }
+    }
+
+    /** Reads available bytes; returns false if the watch has ended or the caller closed the connection. */
+    private ReadResult readAhead(ConnectionWatch firedWatch) throws IOException {
         synchronized (lock) {
             if (watch != firedWatch) {
-                return false;
+                return ReadResult.UNWATCHED;
             }
-            watch = null;
-            ByteBuffer buffer = BufferUtil.allocate(READ_AHEAD_BYTES);
-            int filled = super.fill(buffer);
-            readAhead = buffer;
-            return filled < 0;
+            if (super.fill(readAhead.writable()) < 0) {
+                watch = null;
+                return ReadResult.CLOSED;
+            }
+            readMoreWhenAvailable(firedWatch);
+            return ReadResult.READ;
         }
     }
 
-    private boolean clearAndCheckCancelled(CloseWatch failedWatch) {
+    private boolean clearAndCheckCancelled(ConnectionWatch failedWatch) {
         synchronized (lock) {
             boolean wasCurrent = watch == failedWatch;
-            watch = null;
+            if (wasCurrent) {
+                watch = null;
+            }
             return !wasCurrent;
         }
     }
 
-    private final class CloseWatch implements Callback {
+    private void closed(Runnable onClose) {
+        pipeline.close();
+        onClose.run();
+    }
+
+    private enum ReadResult {
+        UNWATCHED,
+        READ,
+        CLOSED
+    }
+
+    private final class ConnectionWatch implements Callback {
         private final Runnable onClose;
+        private final Runnable onReadAhead;
 
-        CloseWatch(Runnable onClose) {
+        ConnectionWatch(Runnable onClose, Runnable onReadAhead) {
             this.onClose = onClose;
+            this.onReadAhead = onReadAhead;
         }
 
         @Override
@@ -113,18 +168,20 @@
         @Override
         public void succeeded() {
             try {
-                if (readAheadReachesEnd(this)) {
-                    onClose.run();
+                switch (readAhead(this)) {
+                    case READ -> onReadAhead.run();
+                    case CLOSED -> closed(onClose);
+                    case UNWATCHED -> {}
                 }
             } catch (IOException e) {
-                onClose.run();
+                closed(onClose);
             }
         }
 
         @Override
         public void failed(Throwable cause) {
             if (!clearAndCheckCancelled(this)) {
-                onClose.run();
+                closed(onClose);
             }
         }
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
@@ -4,9 +4,11 @@
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.server.Request;
 import org.sardinepost.core.call.CallContext;
 import org.sardinepost.core.call.RefusalReason;
@@ -14,17 +16,54 @@
 
 /** Reads the head of a request and rejects heads that an upstream might interpret differently. */
 final class RequestHead {
-    private final Request request;
+    private final String method;
+    private final HttpURI uri;
+    private final HttpVersion version;
     private final HttpFields headers;
 
     RequestHead(Request request) {
-        this.request = request;
-        this.headers = request.getHeaders();
+        this(new MetaData.Request(
+                request.getMethod(),
+                request.getHttpURI(),
+                request.getConnectionMetaData().getHttpVersion(),
+                request.getHeaders()));
+    }
+
+    RequestHead(MetaData.Request request) {
+        this.method = request.getMethod();
+        this.uri = request.getHttpURI();
+        this.version = request.getHttpVersion();
+        this.headers = request.getHttpFields();
+    }
+
+    String method() {
+        return method;
+    }
+
+    HttpFields headers() {
+        return headers;
+    }
+
+    /** Returns whether the connection stays open for further HTTP/1.1 requests after this one, which has no body. */
+    boolean permitsPipelining() {
+        return version == HttpVersion.HTTP_1_1
+                && !hasBodyFraming()
+                && !headers.contains(HttpHeader.UPGRADE)
+                && !headers.contains(HttpHeader.EXPECT)
+                && !headers.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    }
+
+    /** Returns whether both heads have the same method, target and headers. */
+    boolean sameAs(RequestHead other) {
+        return method.equals(other.method)
+                && target().equals(other.target())
+                && version == other.version
+                && headers.stream().toList().equals(other.headers.stream().toList());
     }
 
     /** Rejects requests that the HTTP parser accepts but that the daemon and an upstream might interpret differently. */
     void validate() {
-        if (HttpMethod.CONNECT.is(request.getMethod())) {
+        if (HttpMethod.CONNECT.is(method)) {
             throw malformed("CONNECT is not supported");
         }
         if (!target().startsWith("/") && !target().equals("*")) {
@@ -47,7 +86,7 @@
         if (headers.contains(HttpHeader.CONTENT_LENGTH)) {
             throw malformed("the request has both Transfer-Encoding and Content-Length");
         }
-        if (version() < HttpVersion.HTTP_1_1.getVersion()) {
+        if (version.getVersion() < HttpVersion.HTTP_1_1.getVersion()) {
             throw malformed("Transfer-Encoding is not allowed in HTTP/1.0");
         }
     }
@@ -55,11 +94,10 @@
     /** Returns the host that selects the service. The authority of the target and the Host header must agree. */
     String host() {
         Optional<String> header = singleValue(HttpHeader.HOST.asString());
-        HttpURI uri = request.getHttpURI();
         Optional<String> authority = Optional.ofNullable(uri.getAuthority());
         // For an HTTP/1 request without a host, Jetty sets the authority to its own address.
         Optional<String> serviceHost =
-                version() < HttpVersion.HTTP_2.getVersion() ? header : header.or(() -> authority);
+                version.getVersion() < HttpVersion.HTTP_2.getVersion() ? header : header.or(() -> authority);
         if (serviceHost.filter(host -> !host.isBlank()).isEmpty()) {
             throw malformed("the Host header is missing");
         }
@@ -69,17 +107,13 @@
         return serviceHost.get();
     }
 
-    private int version() {
-        return request.getConnectionMetaData().getHttpVersion().getVersion();
-    }
-
     private static boolean sameHost(String first, String second) {
         return HostName.normalized(first).equals(HostName.normalized(second));
     }
 
     /** Returns path and query as the caller sent them. */
     String target() {
-        String target = request.getHttpURI().getPathQuery();
+        String target = uri.getPathQuery();
         return target == null ? "" : target;
     }
 
@@ -123,7 +157,6 @@
      * request that only appears to be idempotent must not be retried.
      */
     Optional<String> unambiguousPath() {
-        HttpURI uri = request.getHttpURI();
         String path = uri.getPath();
         boolean isUnambiguous = path != null && !uri.hasViolations() && path.equals(uri.getCanonicalPath());
         return isUnambiguous ? Optional.of(path) : Optional.empty();
