--- a/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.daemon.log.LogEvent;
+import org.sardinepost.daemon.log.LogShutdown;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -30,13 +31,19 @@
 
     private final Function<DaemonSettings, Daemon> daemonFactory;
 
-    /** Creates the command with a factory that chooses the components of the daemon. */
-    public DaemonMain(Function<DaemonSettings, Daemon> daemonFactory) {
+    private DaemonMain(Function<DaemonSettings, Daemon> daemonFactory) {
         this.daemonFactory = daemonFactory;
     }
 
     public static void main(String[] args) {
-        System.exit(new CommandLine(new DaemonMain(Daemon::new)).execute(args));
+        run(Daemon::new, args);
+    }
+
+    /** Runs the command and exits. The factory chooses the components of the daemon. */
+    public static void run(Function<DaemonSettings, Daemon> daemonFactory, String... args) {
+        int exitCode = new CommandLine(new DaemonMain(daemonFactory)).execute(args);
+        LogShutdown.flushAndClose();
+        System.exit(exitCode);
     }
 
     @Override
--- a/daemon/src/main/java/org/sardinepost/daemon/GracefulShutdownHook.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/GracefulShutdownHook.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon;
 
 import org.sardinepost.daemon.log.LogEvent;
+import org.sardinepost.daemon.log.LogShutdown;
 
 /** Shuts the daemon down gracefully when the process receives a termination signal. */
 final class GracefulShutdownHook {
@@ -19,6 +20,7 @@
             exitCode = 1;
             LogEvent.STOP_FAILED.error(e, e.getMessage());
         }
+        LogShutdown.flushAndClose();
         // Without halt, the exit code after SIGTERM would be 143 even though the shutdown was graceful.
         Runtime.getRuntime().halt(exitCode);
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/SelfTest.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/SelfTest.java
@@ -1,20 +1,25 @@
 package org.sardinepost.daemon;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Server;
+import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.settings.DaemonSettings;
+import org.sardinepost.daemon.admin.AdminHandler;
+import org.sardinepost.daemon.admin.Readiness;
+import org.sardinepost.daemon.admin.StatusPage;
 
 /**
- * Starts two daemons on free loopback ports, sends each calls whose upstream is the admin address of the first, and stops both.
+ * Starts two daemons and an upstream on free loopback ports, sends calls to each daemon and stops them.
  *
  * <p>Verifies that an installation is complete. The classes that it loads also define the class data sharing archive, so it
  * follows the path of a real start: settings, services text and VM list from files, and upstream slots assigned by a peer.
@@ -28,6 +33,7 @@
 
     private static final long START_POLL_MILLIS = 50;
     private static final String SERVICE = "self-test";
+    private static final UpstreamId ANY_PORT = new UpstreamId("127.0.0.1", 0);
 
     private final Function<DaemonSettings, Daemon> daemonFactory;
 
@@ -46,23 +52,48 @@
     }
 
     private boolean passes(Path directory) throws Exception {
-        String upstreamAddress = freeAddress();
-        write(directory, "services.ini", servicesText());
-        write(directory, "vms.ini", vmList(upstreamAddress));
-        String firstPeerAddress = freeAddress();
-        String secondPeerAddress = freeAddress();
-        DaemonSettings firstSettings =
-                settings(directory, "first.ini", upstreamAddress, firstPeerAddress, secondPeerAddress);
-        DaemonSettings secondSettings =
-                settings(directory, "second.ini", freeAddress(), secondPeerAddress, firstPeerAddress);
-        try (Daemon firstDaemon = daemonFactory.apply(firstSettings);
-                Daemon secondDaemon = daemonFactory.apply(secondSettings)) {
-            firstDaemon.start();
-            secondDaemon.start();
-            return servesCalls(firstDaemon) && servesCalls(secondDaemon);
+        Server upstream = AdminServerFactory.create(
+                ANY_PORT, new AdminHandler(new Readiness(), new StatusPage(), new PrometheusRegistry()));
+        upstream.start();
+        try {
+            write(directory, "services.ini", servicesText());
+            write(directory, "vms.ini", vmList(upstream.getURI().getPort()));
+            DaemonSettings settings = settings(directory);
+            return passes(settings);
+        } finally {
+            upstream.stop();
+        }
+    }
+
+    private boolean passes(DaemonSettings settings) throws Exception {
+        try (Daemon first = daemonFactory.apply(onAnyPorts(settings, List.of()))) {
+            first.start();
+            List<UpstreamId> peers = List.of(first.controlPlane().peerAddress());
+            try (Daemon second = daemonFactory.apply(onAnyPorts(settings, peers))) {
+                second.start();
+                return servesCalls(first) && servesCalls(second);
+            }
         }
     }
 
+    /**
+     * Replaces the addresses in the settings. Binding port 0 leaves the choice to the kernel, whereas a free port that is
+     * found beforehand may be taken before it is bound.
+     */
+    private static DaemonSettings onAnyPorts(DaemonSettings settings, List<UpstreamId> peers) {
+        return DaemonSettings.builder()
+                .callerAddress(ANY_PORT)
+                .adminAddress(ANY_PORT)
+                .peerAddress(ANY_PORT)
+                .failureDomain(settings.failureDomain())
+                .region(settings.region())
+                .placement(settings.placement())
+                .configuration(settings.configuration())
+                .vms(settings.vms())
+                .peers(peers)
+                .build();
+    }
+
     private static boolean servesCalls(Daemon daemon) throws Exception {
         HttpClient client = new HttpClient();
         client.start();
@@ -102,18 +133,17 @@
         return response.getStatus() == HttpStatus.OK_200;
     }
 
-    private static DaemonSettings settings(
-            Path directory, String name, String adminAddress, String peerAddress, String otherPeerAddress)
-            throws IOException {
+    /** Reads settings from a file like a real start. Their addresses are not used. */
+    private static DaemonSettings settings(Path directory) throws IOException {
         Path file = write(
                 directory,
-                name,
+                "daemon.ini",
                 String.join(
                         "\n",
                         "[daemon]",
-                        "caller-address = " + freeAddress(),
-                        "admin-address = " + adminAddress,
-                        "peer-address = " + peerAddress,
+                        "caller-address = 127.0.0.1:1",
+                        "admin-address = 127.0.0.1:2",
+                        "peer-address = 127.0.0.1:3",
                         "failure-domain = local",
                         "region = local",
                         "placement = shared",
@@ -123,8 +153,6 @@
                         "[vms]",
                         "source = file",
                         "file = " + directory.resolve("vms.ini"),
-                        "[peers]",
-                        "addresses = " + otherPeerAddress,
                         ""));
         StartupFiles startupFiles = StartupFiles.read(file);
         return startupFiles
@@ -152,10 +180,10 @@
                 "");
     }
 
-    private static String vmList(String upstreamAddress) {
+    private static String vmList(int upstreamPort) {
         return String.join(
                 "\n",
-                "[vm " + upstreamAddress + "]",
+                "[vm 127.0.0.1:" + upstreamPort + "]",
                 "role = upstream",
                 "service = " + SERVICE,
                 "failure-domain = local",
@@ -163,13 +191,6 @@
                 "");
     }
 
-    /** Returns an address with a free port. If another process binds the port before it is used, the self-test fails. */
-    private static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        }
-    }
-
     private static Path write(Path directory, String name, String content) throws IOException {
         return Files.writeString(directory.resolve(name), content);
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerHandler.java
@@ -26,12 +26,14 @@
     }
 
     private void refuse(Request request, Response response, Callback callback) {
+        dependencies.callsInProgress().beginRefusal();
         dependencies.metrics().refused(RefusalReason.DRAINING);
         RefusedException refusal = new RefusedException(RefusalReason.DRAINING, "this daemon is stopping");
         BufferedResponse bufferedResponse = dependencies
                 .localResponseTranslator()
                 .apply(LocalResponses.of(Refusals.beforeGuard(request.getHeaders(), refusal)))
                 .withHeader("Connection", "close");
-        ResponseWriter.write(bufferedResponse, request, response, callback);
+        Callback done = Callback.from(callback, dependencies.callsInProgress()::finish);
+        ResponseWriter.write(bufferedResponse, request, response, done);
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallsInProgress.java
@@ -18,6 +18,11 @@
         return true;
     }
 
+    /** Adds the response to a call that is refused after {@link #close}, so that the process does not exit before it. */
+    synchronized void beginRefusal() {
+        count++;
+    }
+
     /** Adds the dispatch of an admitted call, which may outlive the call of its caller. */
     synchronized void beginDispatch() {
         count++;
--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerTable.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerTable.java
@@ -181,8 +181,12 @@
         callerAddressByIncarnation = Map.copyOf(addresses);
         connectedClients = connected().stream().collect(Collectors.toUnmodifiableMap(Peer::address, Peer::client));
         Stream<UpstreamId> self = stopping ? Stream.empty() : Stream.of(ownAddress.get());
-        activeAddresses =
+        List<UpstreamId> active =
                 Stream.concat(self, activePeers().stream().map(Peer::address)).toList();
+        // Readers derive state from the list and recognize a change by its identity.
+        if (!active.equals(activeAddresses)) {
+            activeAddresses = active;
+        }
     }
 
     void close() {
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/CoordinatorSelector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/CoordinatorSelector.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.placement;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
 
     private final PlacementPeers peers;
     private final Map<UpstreamId, Backoff> backoffs = new ConcurrentHashMap<>();
+    private final Map<String, Ranking> rankings = new ConcurrentHashMap<>();
 
     CoordinatorSelector(PlacementPeers peers) {
         this.peers = peers;
@@ -26,18 +28,28 @@
 
     /** Returns the peer address of the coordinator; this daemon's own address if no other daemon is available. */
     UpstreamId coordinator(String service, long nowNanos) {
-        long key = RendezvousHash.keyOf(service);
-        UpstreamId first = null;
-        for (UpstreamId candidate : peers.activeAddresses()) {
+        for (UpstreamId candidate : ranking(service, peers.activeAddresses()).ordered()) {
             Backoff backoff = backoffs.get(candidate);
-            if (backoff != null && backoff.untilNanos() - nowNanos > 0) {
-                continue;
-            }
-            if (first == null || RendezvousHash.precedes(candidate.toString(), first.toString(), key)) {
-                first = candidate;
+            if (backoff == null || backoff.untilNanos() - nowNanos <= 0) {
+                return candidate;
             }
         }
-        return first == null ? peers.localAddress() : first;
+        return peers.localAddress();
+    }
+
+    /** Ranks the daemons once for each change of the membership, since each call needs the first one. */
+    private Ranking ranking(String service, List<UpstreamId> members) {
+        return rankings.compute(
+                service,
+                (name, previous) -> previous != null && previous.members() == members
+                        ? previous
+                        : new Ranking(members, ordered(members, RendezvousHash.keyOf(name))));
+    }
+
+    private static List<UpstreamId> ordered(List<UpstreamId> members, long key) {
+        return members.stream()
+                .sorted((first, second) -> RendezvousHash.precedes(first.toString(), second.toString(), key) ? -1 : 1)
+                .toList();
     }
 
     /** Records that the coordinator did not respond in time, unless it is already being skipped. */
@@ -57,5 +69,12 @@
         backoffs.remove(coordinator);
     }
 
+    /**
+     * The order of the daemons for one service.
+     *
+     * @param members the list of active daemons, compared by identity
+     */
+    private record Ranking(List<UpstreamId> members, List<UpstreamId> ordered) {}
+
     private record Backoff(long untilNanos, long durationNanos) {}
 }
