End the exchange with an upstream that sends bytes without end

Cause: EndlessResponseTest sends 14 kinds of bytes without end. Of these, a second "100 Continue" was taken for the final response and passed on, so the caller waited for a final one beyond its deadline; and the client closed the connection of an aborted exchange only after the bytes that it was reading (a chunk extension, trailers, interim responses), so a thread read on for as long as the upstream sent.

Change: an interim status is never a final response, and an aborted exchange closes its connection at once unless the exchange is already complete.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -24,6 +24,7 @@
     private final CompletableFuture<BufferedResponse> responseFuture = new CompletableFuture<>();
     private volatile boolean requestBegun;
     private volatile boolean responseBegun;
+    private volatile boolean interimResponse;
     private BodyBuffer body = new BodyBuffer(0);
     private long reservedBytes;
 
@@ -62,6 +63,7 @@
     @Override
     public void onBegin(Response response) {
         responseBegun = true;
+        interimResponse = HttpStatus.isInformational(response.getStatus());
     }
 
     @Override
@@ -104,9 +106,19 @@
         abort(failure);
     }
 
-    /** Aborts the exchange and closes its connection; the client then calls {@link #onComplete}. */
+    /**
+     * Aborts the exchange and closes its connection; the client then calls {@link #onComplete}.
+     *
+     * <p>The client itself closes the connection only after the bytes that it is reading, of which there may be no end. If
+     * the exchange is already complete, the connection may be in use for another one; only a repeated interim response makes
+     * the client report a completion that it does not carry out.
+     */
     private void abort(Throwable cause) {
-        var unused = exchange.abort(cause);
+        CompletableFuture<Boolean> aborted = exchange.abort(cause);
+        boolean alreadyComplete = aborted.isDone() && !aborted.isCompletedExceptionally() && !aborted.join();
+        if (!alreadyComplete || interimResponse) {
+            closeConnection();
+        }
     }
 
     @Override
@@ -128,6 +140,15 @@
             return false;
         }
         Response response = result.getResponse();
+        if (HttpStatus.isInformational(response.getStatus())) {
+            // The client skips one interim response of a kind and takes a repetition for the final one.
+            closeConnection();
+            responseFuture.completeExceptionally(new SendException(
+                    SendException.Kind.ANSWER_INCOMPLETE,
+                    "the upstream sent interim response " + response.getStatus() + " instead of a final one",
+                    null));
+            return false;
+        }
         if (!hasReliableEnd(response)) {
             responseFuture.completeExceptionally(new SendException(
                     SendException.Kind.ANSWER_INCOMPLETE,
