Answer the pipelined requests that run when the daemon stops

Cause: the response during a planned stop closes its connection, which cancelled the requests behind it that were already running on upstreams. A pipelined call also did not count as in progress between its end and its turn.

Change: a connection is closed after the last pipelined call that runs, no further one is dispatched ahead during a stop, and a pipelined call counts as in progress until it is claimed or discarded.

Also removed: two methods and the final steps that nothing used. A task of the queue's expiry that fails no longer leaves the queue without a timer.

--- a/core/src/main/java/org/sardinepost/core/admission/PriorityCallQueue.java
+++ b/core/src/main/java/org/sardinepost/core/admission/PriorityCallQueue.java
@@ -97,13 +97,6 @@
         return expiredCalls;
     }
 
-    /** Removes and returns all calls. */
-    public List<QueuedCall> clear() {
-        List<QueuedCall> all = entries.stream().map(Entry::call).toList();
-        entries.clear();
-        return all;
-    }
-
     /**
      * A queued call.
      *
--- a/core/src/main/java/org/sardinepost/core/routing/StragglerDetector.java
+++ b/core/src/main/java/org/sardinepost/core/routing/StragglerDetector.java
@@ -34,14 +34,6 @@
         }
     }
 
-    /** Adds an upstream back to the comparison. */
-    void restore(LogLatencyAverage upstream) {
-        if (upstream.hasEnoughSamples()) {
-            sumOfLogMeans += upstream.mean();
-            comparedUpstreams++;
-        }
-    }
-
     /**
      * Returns the factor by which a straggler is slower than the other upstreams; 1 for an upstream that is not a
      * straggler.
--- a/daemon/src/main/java/org/sardinepost/daemon/GracefulShutdown.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/GracefulShutdown.java
@@ -1,13 +1,10 @@
 package org.sardinepost.daemon;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.sardinepost.daemon.call.CallsInProgress;
 import org.sardinepost.daemon.log.LogEvent;
 
@@ -22,7 +19,6 @@
     private final CallsInProgress calls;
     private final Duration drainWait;
     private final Runnable closeCallerConnector;
-    private final List<Supplier<CompletableFuture<Void>>> finalSteps = new CopyOnWriteArrayList<>();
     private volatile boolean started;
 
     GracefulShutdown(CallsInProgress calls, Duration drainWait, Runnable closeCallerConnector) {
@@ -31,29 +27,19 @@
         this.closeCallerConnector = closeCallerConnector;
     }
 
-    /** Adds a step to run after the last call has ended, for example the handover of tokens. */
-    void addFinalStep(Supplier<CompletableFuture<Void>> step) {
-        finalSteps.add(step);
-    }
-
     Optional<String> unreadyReason() {
         return started ? Optional.of("stopping") : Optional.empty();
     }
 
-    /** Starts the shutdown. The future completes when the last call has ended and all final steps have completed. */
+    /** Starts the shutdown. The future completes when the last call has ended. */
     CompletableFuture<Void> start() {
         started = true;
         calls.startDraining();
         LogEvent.STOP_REQUESTED.info(drainWait.toMillis());
         Executor afterDrainWait = CompletableFuture.delayedExecutor(drainWait.toNanos(), TimeUnit.NANOSECONDS);
-        CompletableFuture<Void> stopped = CompletableFuture.runAsync(closeCallerConnector, afterDrainWait)
-                .thenCompose(closed -> {
-                    LogEvent.STOP_AWAITING_CALLS.info(calls.count());
-                    return calls.close();
-                });
-        for (Supplier<CompletableFuture<Void>> step : finalSteps) {
-            stopped = stopped.thenCompose(done -> step.get());
-        }
-        return stopped;
+        return CompletableFuture.runAsync(closeCallerConnector, afterDrainWait).thenCompose(closed -> {
+            LogEvent.STOP_AWAITING_CALLS.info(calls.count());
+            return calls.close();
+        });
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
@@ -48,14 +48,25 @@
 
     private volatile boolean handedToGuard;
 
-    ActiveCall(CallDependencies dependencies, Request request, Response response, Callback callback) {
+    /**
+     * Creates a call that is counted as in progress.
+     *
+     * @param pipelinedCall the running call of this request if it was dispatched ahead
+     */
+    ActiveCall(
+            CallDependencies dependencies,
+            CallerConnection connection,
+            Optional<PipelinedCall> pipelinedCall,
+            Request request,
+            Response response,
+            Callback callback) {
         this.dependencies = dependencies;
+        this.connection = connection;
+        this.pipelinedCall = pipelinedCall;
         this.request = request;
         this.response = response;
         this.callback = callback;
         this.requestHead = new RequestHead(request);
-        this.connection = new CallerConnection(request);
-        this.pipelinedCall = connection.claim(requestHead);
         this.reservation = pipelinedCall
                 .map(PipelinedCall::reservation)
                 .orElseGet(() -> dependencies.heldBytes().openReservation());
@@ -197,7 +208,7 @@
                 .reason()
                 .filter(RefusalReason.MALFORMED_REQUEST::equals)
                 .isPresent();
-        if (malformed || dependencies.callsInProgress().draining()) {
+        if (malformed || (dependencies.callsInProgress().draining() && connection.endPipeline())) {
             finalResponse = finalResponse.withHeader("Connection", "close");
         }
         callOutcome.reason().ifPresent(dependencies.metrics()::refused);
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallPipeline.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallPipeline.java
@@ -80,6 +80,13 @@
         return calls.isEmpty() ? Optional.empty() : calls.remove();
     }
 
+    /** Dispatches no further calls ahead, and returns true, unless there is a call that was not claimed yet. */
+    synchronized boolean endUnlessRunning() {
+        boolean running = calls.stream().anyMatch(Optional::isPresent);
+        ended |= !running;
+        return !running;
+    }
+
     /** Ends the calls that were not claimed, and dispatches no further ones ahead. */
     void close() {
         List<Optional<PipelinedCall>> unclaimed;
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerConnection.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerConnection.java
@@ -30,6 +30,14 @@
                 onDisconnect, () -> caller.pipeline().dispatch(dependencies, head, caller::nextRequestHead)));
     }
 
+    /**
+     * Dispatches no further requests ahead. Returns whether the connection may close after the current response: not while
+     * requests behind it are running, as their callers would get no response.
+     */
+    boolean endPipeline() {
+        return endPoint.map(caller -> caller.pipeline().endUnlessRunning()).orElse(true);
+    }
+
     void stopWatching() {
         endPoint.ifPresent(CallerEndPoint::unwatch);
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerHandler.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.call;
 
+import java.util.Optional;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -17,8 +18,10 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        if (dependencies.callsInProgress().tryBegin()) {
-            new ActiveCall(dependencies, request, response, callback).start();
+        CallerConnection connection = new CallerConnection(request);
+        Optional<PipelinedCall> pipelinedCall = connection.claim(new RequestHead(request));
+        if (pipelinedCall.isPresent() || dependencies.callsInProgress().tryBegin()) {
+            new ActiveCall(dependencies, connection, pipelinedCall, request, response, callback).start();
         } else {
             refuse(request, response, callback);
         }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/PipelinedCall.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/PipelinedCall.java
@@ -9,6 +9,7 @@
  * A call that was dispatched while its caller still waits for the responses to earlier requests of the connection.
  *
  * <p>The HTTP server later hands the request to an {@link ActiveCall}, which claims this call and waits for its response.
+ * The call counts as in progress until then, so that a planned stop waits for it.
  */
 final class PipelinedCall {
     private final CallDependencies dependencies;
@@ -35,8 +36,9 @@
         try {
             CallDestination destination = CallTerms.destination(dependencies, head);
             CallTerms terms = CallTerms.of(dependencies, head, destination, now);
-            return Optional.of(new PipelinedCall(dependencies, head, terms, now))
-                    .filter(call -> terms.idempotent());
+            return terms.idempotent() && dependencies.callsInProgress().tryBegin()
+                    ? Optional.of(new PipelinedCall(dependencies, head, terms, now))
+                    : Optional.empty();
         } catch (RefusedException e) {
             // The request is refused in its turn.
             return Optional.empty();
@@ -90,5 +92,6 @@
         record.ended(0, "connection-ended", dependencies.now());
         dependencies.callLog().logCall(head.headers(), record);
         reservation.release();
+        dependencies.callsInProgress().finish();
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/TimedCentralDispatcher.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/TimedCentralDispatcher.java
@@ -48,9 +48,13 @@
 
     private void expireQueue() {
         expiryScheduled.set(false);
-        dispatcher.expireQueuedCalls(nanoClock.getAsLong());
-        if (dispatcher.hasQueuedCalls()) {
-            scheduleExpiry();
+        try {
+            dispatcher.expireQueuedCalls(nanoClock.getAsLong());
+        } finally {
+            // A call whose completion fails must not leave the others in the queue.
+            if (dispatcher.hasQueuedCalls()) {
+                scheduleExpiry();
+            }
         }
     }
 }
