Take the ports and the timeouts of two tests out of the hands of chance

Traced: with a stall of 60 ms between request and response the first fails in the same line, since a coordinator that takes over 40 ms counts as unresponsive. The timeouts now run only in the tests of an unresponsive coordinator; with the same stall all 10 tests pass. The second is not traced: its logs were gone. Its daemons used released ports of the range from which the kernel serves other processes; a daemon that finds its port taken ends, and the test then waits for it until its timeout. JavaProcess.freePort now takes ports outside that range.

--- a/daemon/src/test/java/org/sardinepost/daemon/JavaProcess.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/JavaProcess.java
@@ -9,9 +9,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Runs a main class of the test class path in a separate process. */
 final class JavaProcess implements AutoCloseable {
+    private static final int MIN_PORT = 20_000;
+    private static final int MAX_PORT = 32_000;
     private static final Set<Integer> returnedPorts = ConcurrentHashMap.newKeySet();
 
     private final Process process;
@@ -32,18 +35,27 @@
                 .start();
     }
 
-    /** Returns a port not returned before in this JVM, as the kernel may allocate a released port again at once. */
+    /**
+     * Returns a port not returned before in this JVM, below the range from which the kernel allocates ports: a port of that
+     * range may be allocated to any connection before the process binds it.
+     */
     static int freePort() throws IOException {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                int port = socket.getLocalPort();
-                if (returnedPorts.add(port)) {
-                    return port;
-                }
+            int port = MIN_PORT + ThreadLocalRandom.current().nextInt(MAX_PORT - MIN_PORT);
+            if (returnedPorts.add(port) && isFree(port)) {
+                return port;
             }
         }
     }
 
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     void sendSignal(String name) throws Exception {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                 .start()
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -34,7 +34,7 @@
     private static final UpstreamId SECOND = new UpstreamId("10.1.0.2", 80);
     private static final Upstream UPSTREAM = new Upstream(new UpstreamId("10.9.0.1", 80), "a");
 
-    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("test", true);
+    private final SuspendableScheduler scheduler = new SuspendableScheduler();
     private final Map<UpstreamId, Node> nodes = new HashMap<>();
     private Node coordinator;
     private Node requester;
@@ -125,6 +125,7 @@
     class UnresponsiveCoordinator {
         @Test
         void isReplacedByLocalDispatch() throws Exception {
+            scheduler.suspended = false;
             coordinator.frozen = true;
 
             assertThat(acquire(requester).upstream()).isEqualTo(UPSTREAM.id());
@@ -132,6 +133,7 @@
 
         @Test
         void isSkippedByTheNextCalls() throws Exception {
+            scheduler.suspended = false;
             coordinator.frozen = true;
             acquire(requester);
 
@@ -158,6 +160,23 @@
         }
     }
 
+    /**
+     * A scheduler that ignores tasks while it is suspended. A coordinator that responds does so on the thread of the test,
+     * which may be delayed beyond the timeout of an unresponsive one.
+     */
+    private static final class SuspendableScheduler extends ScheduledExecutorScheduler {
+        private volatile boolean suspended = true;
+
+        SuspendableScheduler() {
+            super("test", true);
+        }
+
+        @Override
+        public Task schedule(Runnable task, long delay, TimeUnit unit) {
+            return suspended ? () -> true : super.schedule(task, delay, unit);
+        }
+    }
+
     /** One daemon; messages are handled on the thread that sends them. */
     private final class Node implements PlacementPeers {
         private final UpstreamId address;
