Take no request from the bytes read ahead once their call has ended

Cause, found by reading: a watch that had just read bytes could look for further requests after its call had ended and the server had received a request with a body; the body would then have been taken for a request.

Change: the heads are supplied by the watch and only while it is the current one, under the lock of the connection. The test sends bodies that look like requests around the end of a call, 300 times; it did not show the fault before, which needs a thread that stops between two statements.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerConnection.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerConnection.java
@@ -26,8 +26,8 @@
 
     /** Watches the connection until {@link #stopWatching}, and dispatches idempotent requests that are sent ahead. */
     void watch(CallDependencies dependencies, RequestHead head, Runnable onDisconnect) {
-        endPoint.ifPresent(caller -> caller.watch(
-                onDisconnect, () -> caller.pipeline().dispatch(dependencies, head, caller::nextRequestHead)));
+        endPoint.ifPresent(
+                caller -> caller.watch(onDisconnect, heads -> caller.pipeline().dispatch(dependencies, head, heads)));
     }
 
     /**
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -28,6 +30,7 @@
     private final CallPipeline pipeline = new CallPipeline();
     private final Object lock = new Object();
     private final ReadAheadBuffer readAhead = new ReadAheadBuffer(READ_AHEAD_BYTES);
+    /** The watch for the call in progress; null while the server reads. */
     private ConnectionWatch watch;
 
     public CallerEndPoint(
@@ -45,17 +48,18 @@
      * Reads ahead until {@link #unwatch}.
      *
      * @param onClose run once if the caller closes the connection
-     * @param onReadAhead run whenever bytes of further requests were read
+     * @param onReadAhead run whenever bytes of further requests were read, with a supplier of their heads
      */
-    void watch(Runnable onClose, Runnable onReadAhead) {
+    void watch(Runnable onClose, Consumer<Supplier<Optional<ByteBuffer>>> onReadAhead) {
+        ConnectionWatch started = new ConnectionWatch(onClose, onReadAhead);
         boolean hasBytes;
         synchronized (lock) {
-            watch = new ConnectionWatch(onClose, onReadAhead);
-            readMoreWhenAvailable(watch);
+            watch = started;
+            readMoreWhenAvailable(started);
             hasBytes = !readAhead.isEmpty();
         }
         if (hasBytes) {
-            onReadAhead.run();
+            started.reportReadAhead();
         }
     }
 
@@ -69,13 +73,6 @@
         }
     }
 
-    /** Returns the head of the next request that was read ahead and that this method has not returned yet. */
-    Optional<ByteBuffer> nextRequestHead() {
-        synchronized (lock) {
-            return readAhead.nextHead();
-        }
-    }
-
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (lock) {
@@ -110,12 +107,11 @@
     }
 
     private void readMoreWhenAvailable(ConnectionWatch current) {
-        if (readAhead.isFull() || !tryFillInterested(current)) {
-            watch = null;
+        if (!readAhead.isFull()) {
+            tryFillInterested(current);
         }
     }
 
-    /** Reads available bytes; returns false if the watch has ended or the caller closed the connection. */
     private ReadResult readAhead(ConnectionWatch firedWatch) throws IOException {
         synchronized (lock) {
             if (watch != firedWatch) {
@@ -130,6 +126,16 @@
         }
     }
 
+    /**
+     * Returns the next head that was read ahead. Once the watch has ended, the server may have received a request with a
+     * body, so that the bytes read ahead do not start with a head.
+     */
+    private Optional<ByteBuffer> nextHead(ConnectionWatch current) {
+        synchronized (lock) {
+            return watch == current ? readAhead.nextHead() : Optional.empty();
+        }
+    }
+
     private boolean clearAndCheckCancelled(ConnectionWatch failedWatch) {
         synchronized (lock) {
             boolean wasCurrent = watch == failedWatch;
@@ -153,13 +159,17 @@
 
     private final class ConnectionWatch implements Callback {
         private final Runnable onClose;
-        private final Runnable onReadAhead;
+        private final Consumer<Supplier<Optional<ByteBuffer>>> onReadAhead;
 
-        ConnectionWatch(Runnable onClose, Runnable onReadAhead) {
+        ConnectionWatch(Runnable onClose, Consumer<Supplier<Optional<ByteBuffer>>> onReadAhead) {
             this.onClose = onClose;
             this.onReadAhead = onReadAhead;
         }
 
+        void reportReadAhead() {
+            onReadAhead.accept(() -> nextHead(this));
+        }
+
         @Override
         public InvocationType getInvocationType() {
             return InvocationType.NON_BLOCKING;
@@ -169,7 +179,7 @@
         public void succeeded() {
             try {
                 switch (readAhead(this)) {
-                    case READ -> onReadAhead.run();
+                    case READ -> reportReadAhead();
                     case CLOSED -> closed(onClose);
                     case UNWATCHED -> {}
                 }
--- a/daemon/src/test/java/org/sardinepost/daemon/PipeliningTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/PipeliningTest.java
@@ -197,6 +197,44 @@
         }
     }
 
+    /** Sends the next request while the response to the one before it is written, at slightly different times. */
+    @Nested
+    class RequestsThatArriveAtTheEndOfACall {
+        private static final int ROUNDS = 300;
+
+        @Test
+        void runOnceAndBodiesAreNotTakenForRequests() throws Exception {
+            allowed.put("/fast", CompletableFuture.completedFuture(null));
+            String body = get("/smuggled");
+            String post = RawHttpClient.head(concat("POST /fast HTTP/1.1", "Content-Length: " + body.length()));
+            for (int round = 0; round < ROUNDS; round++) {
+                send(get("/fast"));
+                TimeUnit.MICROSECONDS.sleep(20L * (round % 60));
+                send(post);
+                send(body);
+                send(get("/fast"));
+                readResponses(3);
+            }
+
+            assertThat(received).hasSize(3 * ROUNDS);
+            assertThat(received).doesNotContain("/smuggled");
+        }
+
+        private void readResponses(int count) throws Exception {
+            byte[] bytes = new byte[1];
+            StringBuilder text = new StringBuilder();
+            int seen = 0;
+            while (seen < count) {
+                assertThat(connection.getInputStream().read(bytes)).isEqualTo(1);
+                text.append((char) bytes[0]);
+                if (text.toString().endsWith("response to /fast")) {
+                    seen++;
+                    text.setLength(0);
+                }
+            }
+        }
+    }
+
     @Nested
     class RequestsBehindTheEndOfTheConnection {
         @Test
