Bind the caller address before the daemon is created

Change: the listener is bound as soon as the settings are read, and connections wait in its backlog while the components are created.

--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -22,7 +22,7 @@
     private static final int ACCEPTORS = 1;
 
     /** Holds the connections that arrive during startup: several seconds of new connections in a small fleet. */
-    private static final int ACCEPT_BACKLOG = 1_024;
+    static final int ACCEPT_BACKLOG = 1_024;
 
     /** Accepts ambiguous request targets unchanged: upstreams decide what an encoded slash or a dot segment means. */
     private static final UriCompliance URI_COMPLIANCE =
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -199,10 +200,15 @@
         LogEvent.SERVICES_TEXT_APPLIED.info(text.version(), text.services().size());
     }
 
+    /** Accepts calls from a listener that is already bound to the caller address. Must be called before {@link #start}. */
+    void setCallerListener(ServerSocketChannel listener) {
+        callerConnector().setListener(listener);
+    }
+
     public void start() throws Exception {
         scheduler.start();
         httpClient.start();
-        // From here on, new connections wait in the accept backlog instead of being refused.
+        // From here on at the latest, new connections wait in the accept backlog instead of being refused.
         callerConnector().open();
         adminServer.start();
         controlPlane.start();
@@ -247,8 +253,8 @@
         callerConnector().close();
     }
 
-    private ServerConnector callerConnector() {
-        return (ServerConnector) callerServer.getConnectors()[0];
+    private CallerConnector callerConnector() {
+        return (CallerConnector) callerServer.getConnectors()[0];
     }
 
     /**
--- a/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon;
 
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.function.Function;
@@ -74,8 +75,12 @@
     }
 
     private int serve(StartupFiles startupFiles) throws InterruptedException {
-        Daemon daemon = daemonFactory.apply(startupFiles.settings().orElseThrow());
+        DaemonSettings settings = startupFiles.settings().orElseThrow();
+        Daemon daemon;
         try {
+            ServerSocketChannel listener = EarlyListener.bind(settings.callerAddress());
+            daemon = daemonFactory.apply(settings);
+            daemon.setCallerListener(listener);
             daemon.start();
         } catch (Exception e) {
             LogEvent.START_FAILED.error(e, e.getMessage());
