--- a/daemon/src/test/java/org/sardinepost/daemon/PlannedStopTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/PlannedStopTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -137,12 +138,11 @@
                 Thread.sleep(5);
             }
             daemon.stop().get(60, TimeUnit.SECONDS);
-            Set<String> lost = ConcurrentHashMap.newKeySet();
             daemon.close();
             for (Thread caller : callers) {
                 caller.join();
             }
-            lost.addAll(executed);
+            Set<String> lost = new HashSet<>(executed);
             lost.removeAll(answered);
 
             assertThat(lost).isEmpty();
