Repeat the abort of an exchange that is in the middle of an interim response

Cause: while the client skips an interim response, it refuses an abort like that of a completed exchange, and then reads on without end.

Change: a refused abort is repeated until the client completes the exchange, for half a second at most; the connection is closed then. The flag for interim responses is gone.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -14,6 +15,8 @@
 /** Buffers one response until it is complete. */
 final class ResponseCollector implements Response.Listener {
     private static final long LENGTH_UNKNOWN = -1;
+    private static final int ABORT_ATTEMPTS = 50;
+    private static final long ABORT_INTERVAL_MILLIS = 10;
     private static final long MAX_BODY_BYTES = Integer.MAX_VALUE - 8;
 
     private final Request exchange;
@@ -24,7 +27,7 @@
     private final CompletableFuture<BufferedResponse> responseFuture = new CompletableFuture<>();
     private volatile boolean requestBegun;
     private volatile boolean responseBegun;
-    private volatile boolean interimResponse;
+    private volatile boolean completed;
     private BodyBuffer body = new BodyBuffer(0);
     private long reservedBytes;
 
@@ -63,7 +66,6 @@
     @Override
     public void onBegin(Response response) {
         responseBegun = true;
-        interimResponse = HttpStatus.isInformational(response.getStatus());
     }
 
     @Override
@@ -109,20 +111,34 @@
     /**
      * Aborts the exchange and closes its connection; the client then calls {@link #onComplete}.
      *
-     * <p>The client itself closes the connection only after the bytes that it is reading, of which there may be no end. If
-     * the exchange is already complete, the connection may be in use for another one; only a repeated interim response makes
-     * the client report a completion that it does not carry out.
+     * <p>The client itself closes the connection only after the bytes that it is reading, of which there may be no end.
      */
     private void abort(Throwable cause) {
+        abort(cause, ABORT_ATTEMPTS);
+    }
+
+    /**
+     * Repeats an abort that the client refuses as long as it does not complete the exchange. It refuses an abort of a
+     * completed exchange, whose connection may be in use for another one, but also while it skips an interim response.
+     */
+    private void abort(Throwable cause, int attemptsLeft) {
         CompletableFuture<Boolean> aborted = exchange.abort(cause);
-        boolean alreadyComplete = aborted.isDone() && !aborted.isCompletedExceptionally() && !aborted.join();
-        if (!alreadyComplete || interimResponse) {
+        boolean refused = aborted.isDone() && !aborted.isCompletedExceptionally() && !aborted.join();
+        if (!refused || attemptsLeft == 0) {
             closeConnection();
+            return;
         }
+        CompletableFuture.delayedExecutor(ABORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+                .execute(() -> {
+                    if (!completed) {
+                        abort(cause, attemptsLeft - 1);
+                    }
+                });
     }
 
     @Override
     public void onComplete(Result result) {
+        completed = true;
         if (!complete(result)) {
             body = new BodyBuffer(0);
             reservation.releasePart(reservedBytes);
