Dispatch no request ahead behind one whose target may be refused

Cause: that target is refused only when it is sent, after the requests behind it were dispatched ahead; the response then closes the connection. Change: only a request with an unambiguous path, not beginning with two slashes, permits that.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
@@ -44,9 +44,14 @@
         return headers;
     }
 
-    /** Returns whether the connection stays open for further HTTP/1.1 requests after this one, which has no body. */
+    /**
+     * Returns whether requests behind this one may be dispatched ahead: it has no body, leaves the connection open and will
+     * not be refused as malformed later, as a target is that cannot be forwarded unchanged.
+     */
     boolean permitsPipelining() {
         return version == HttpVersion.HTTP_1_1
+                && !target().startsWith("//")
+                && unambiguousPath().isPresent()
                 && !hasBodyFraming()
                 && !headers.contains(HttpHeader.UPGRADE)
                 && !headers.contains(HttpHeader.EXPECT)
