--- a/review/standins/AppServer.java
+++ b/review/standins/AppServer.java
@@ -93,10 +93,9 @@
         }
     }
 
-    protected void answer(Http.Message request, OutputStream out) throws IOException {
+    private void answer(Http.Message request, OutputStream out) throws IOException {
         if (request.word(1).equals("/health")) {
-            boolean well = state.equals("ready");
-            write(out, well ? "200 OK" : "503 Service Unavailable", "Sardinepost-Instance-Id: " + id + "\r\n", "");
+            answerHealth(out);
             return;
         }
         String attempt = request.header("Sardinepost-Attempt-Id");
@@ -111,25 +110,50 @@
             write(out, "421 Misdirected Request", echo + "Sardinepost-Not-Executed: 1\r\n", "");
             return;
         }
-        if (!places.tryAcquire()) {
+        boolean ran = runInSlot(() -> {
+            record(attempt, 200);
+            accepted(attempt, out);
+            sleep(workMillis);
+        });
+        if (!ran) {
             record(attempt, 503);
             write(out, "503 Service Unavailable", echo + "Sardinepost-Not-Executed: 1\r\n", "");
             return;
         }
+        write(out, "200 OK", echo + "Sardinepost-Response-Signature: " + id + "." + attempt + "\r\n", "done " + attempt);
+    }
+
+    /** Work that may write to its connection. */
+    interface Work {
+        void run() throws IOException;
+    }
+
+    /** Runs the work once a slot is free; returns false without running it if the server is full. */
+    protected final boolean runInSlot(Work work) throws IOException {
+        if (!places.tryAcquire()) {
+            return false;
+        }
         try {
             slotPermits.acquireUninterruptibly();
             try {
-                record(attempt, 200);
-                sleep(workMillis);
+                work.run();
             } finally {
                 slotPermits.release();
             }
         } finally {
             places.release();
         }
-        write(out, "200 OK", echo + "Sardinepost-Response-Signature: " + id + "." + attempt + "\r\n", "done " + attempt);
+        return true;
     }
 
+    protected void answerHealth(OutputStream out) throws IOException {
+        boolean well = state.equals("ready");
+        write(out, well ? "200 OK" : "503 Service Unavailable", "Sardinepost-Instance-Id: " + id + "\r\n", "");
+    }
+
+    /** Called when a request begins to run. */
+    protected void accepted(String attempt, OutputStream out) throws IOException {}
+
     protected void write(OutputStream out, String status, String headers, String body) throws IOException {
         String load = tellsLoad
                 ? "Sardinepost-Server-Load: " + (slots - slotPermits.availablePermits()) + ","
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -38,7 +38,9 @@
             node.writeSettings(store.address(), seeds);
             node.start();
         }
-        return nodes.stream().allMatch(node -> node.awaitReady(15));
+        boolean ready = nodes.stream().allMatch(node -> node.awaitReady(15));
+        nodes.forEach(Node::watchReadiness);
+        return ready;
     }
 
     /** The body of a configuration with one route, which goes to one service. */
--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -27,6 +27,7 @@
     private final Path settings;
     private Process process;
     private int starts;
+    private volatile boolean rotation = true;
 
     Node(String name, Path root, Path directory) {
         this.name = name;
@@ -92,9 +93,37 @@
     void stop() {
         if (process != null) {
             process.destroyForcibly();
+            rotation = false;
         }
     }
 
+    /** Returns whether the platform sends new connections here: not after two questions in a row without a 200. */
+    boolean inRotation() {
+        return rotation;
+    }
+
+    /** Asks once a second, as the platform does, whether the machine is ready. */
+    void watchReadiness() {
+        Listener.start(() -> {
+            int misses = 0;
+            while (true) {
+                misses = ready() ? 0 : misses + 1;
+                rotation = misses < 2;
+                AppServer.sleep(1000);
+            }
+        });
+    }
+
+    /** Stops the machine as the platform does, with SIGTERM and after graceS with SIGKILL, and starts it again. */
+    void restart(long graceMillis) throws IOException, InterruptedException {
+        signal("TERM");
+        int code = awaitExit(graceMillis);
+        Record.line("%s: ended with code %d", name, code);
+        stop();
+        AppServer.sleep(500);
+        start();
+    }
+
     /** Asks as the platform does whether the machine is ready. */
     boolean ready() {
         try (Socket socket = new Socket()) {
