--- a/review/standins/AppServer.java
+++ b/review/standins/AppServer.java
@@ -101,13 +101,13 @@
         String attempt = request.header("Sardinepost-Attempt-Id");
         String target = request.header("Sardinepost-Target-Instance");
         if (attempt == null) {
-            write(out, "400 Bad Request", "Sardinepost-Not-Executed: 1\r\n", "");
+            write(out, "400 Bad Request", "Sardinepost-Not-Executed: 1\r\n");
             return;
         }
         String echo = "Sardinepost-Attempt-Id: " + attempt + "\r\n";
         if (target != null && !target.equals(id)) {
             record(attempt, 421);
-            write(out, "421 Misdirected Request", echo + "Sardinepost-Not-Executed: 1\r\n", "");
+            write(out, "421 Misdirected Request", echo + "Sardinepost-Not-Executed: 1\r\n");
             return;
         }
         boolean ran = runInSlot(() -> {
@@ -117,10 +117,10 @@
         });
         if (!ran) {
             record(attempt, 503);
-            write(out, "503 Service Unavailable", echo + "Sardinepost-Not-Executed: 1\r\n", "");
+            write(out, "503 Service Unavailable", echo + "Sardinepost-Not-Executed: 1\r\n");
             return;
         }
-        write(out, "200 OK", echo + "Sardinepost-Response-Signature: " + id + "." + attempt + "\r\n", "done " + attempt);
+        write(out, "200 OK", echo + "Sardinepost-Response-Signature: " + id + "." + attempt + "\r\n", body(attempt));
     }
 
     /** Work that may write to its connection. */
@@ -148,21 +148,30 @@
 
     protected void answerHealth(OutputStream out) throws IOException {
         boolean well = state.equals("ready");
-        write(out, well ? "200 OK" : "503 Service Unavailable", "Sardinepost-Instance-Id: " + id + "\r\n", "");
+        write(out, well ? "200 OK" : "503 Service Unavailable", "Sardinepost-Instance-Id: " + id + "\r\n");
+    }
+
+    /** Returns the body of the answer to a request that ran. */
+    protected byte[] body(String attempt) {
+        return ("done " + attempt).getBytes(StandardCharsets.ISO_8859_1);
     }
 
     /** Called when a request begins to run. */
     protected void accepted(String attempt, OutputStream out) throws IOException {}
 
-    protected void write(OutputStream out, String status, String headers, String body) throws IOException {
+    protected void write(OutputStream out, String status, String headers) throws IOException {
+        write(out, status, headers, new byte[0]);
+    }
+
+    private void write(OutputStream out, String status, String headers, byte[] body) throws IOException {
         String load = tellsLoad
                 ? "Sardinepost-Server-Load: " + (slots - slotPermits.availablePermits()) + ","
                         + Math.max(0, slots + queue - places.availablePermits()
                                 - (slots - slotPermits.availablePermits())) + "," + slots + ",100\r\n"
                 : "";
-        String text = "HTTP/1.1 " + status + "\r\n" + headers + load + "Content-Length: " + body.length() + "\r\n\r\n"
-                + body;
+        String text = "HTTP/1.1 " + status + "\r\n" + headers + load + "Content-Length: " + body.length + "\r\n\r\n";
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.write(body);
         out.flush();
     }
 
--- a/review/standins/RepeatingServer.java
+++ b/review/standins/RepeatingServer.java
@@ -59,6 +59,6 @@
     }
 
     private void writeRejection(OutputStream out) throws IOException {
-        write(out, "503 Service Unavailable", "Sardinepost-Not-Executed: 1\r\n", "");
+        write(out, "503 Service Unavailable", "Sardinepost-Not-Executed: 1\r\n");
     }
 }
