--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -26,6 +26,8 @@
 
     Deployment(Path root) throws IOException {
         this.root = root;
+        // For a case that is interrupted; a case that ends by itself ends its processes before.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endNodes));
     }
 
     /** Starts machines, the first of which are the seeds, and waits until all are ready. */
@@ -80,9 +82,13 @@
         int run(Deployment deployment) throws Exception;
     }
 
+    private void endNodes() {
+        nodes.forEach(Node::end);
+    }
+
     @Override
     public void close() throws IOException {
-        nodes.forEach(Node::stop);
+        endNodes();
         String keep = System.getenv("KEEP_LOGS");
         if (keep != null) {
             System.err.println("logs: " + directory);
--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -25,8 +25,9 @@
     private final Path root;
     private final Path directory;
     private final Path settings;
-    private Process process;
+    private volatile Process process;
     private int starts;
+    private boolean stopped;
     private volatile boolean rotation = true;
 
     Node(String name, Path root, Path directory) {
@@ -56,7 +57,10 @@
         Files.writeString(settings, text);
     }
 
-    void start() throws IOException {
+    synchronized void start() throws IOException {
+        if (stopped) {
+            return;
+        }
         String deploy = Files.readString(root.resolve("deploy/system.toml"));
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(deploy);
         if (!run.find()) {
@@ -90,7 +94,13 @@
         return process.waitFor(millis, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
     }
 
-    void stop() {
+    /** Ends the machine; it is not started again. */
+    synchronized void end() {
+        stopped = true;
+        stop();
+    }
+
+    private void stop() {
         if (process != null) {
             process.destroyForcibly();
             rotation = false;
