--- a/core/src/main/java/org/sardinepost/core/membership/AbsencePolicy.java
+++ b/core/src/main/java/org/sardinepost/core/membership/AbsencePolicy.java
@@ -7,19 +7,13 @@
  * Decides when an upstream that is no longer in the VM list is removed.
  *
  * <p>A manually maintained list can be outdated, so an absent upstream is kept until a connection to it fails. A
- * registry removes the entry of an upstream that has left, so an absent upstream is removed after a hold time. If many
- * entries disappear at once, the registry has more likely lost them than all upstreams have stopped; the hold time is
- * then extended to allow them to register again.
+ * registry removes the entry of an upstream that has left, so an absent upstream is removed after a hold time, however
+ * many are absent. Entries can also expire while the registry is unavailable. The absences that follow a disturbance of
+ * the registry are therefore held until the upstreams have had time to register again.
  */
 public final class AbsencePolicy {
-    /** Fewer entries than this often disappear at once when upstreams are replaced. */
-    private static final int MIN_SIMULTANEOUS_LOSSES = 3;
-
-    /** A planned scale-down usually removes a smaller fraction of the upstreams at once. */
-    private static final double MIN_LOST_FRACTION = 0.2;
-
-    /** Upstreams renew their registration every one to two seconds, and the list is read once a second. */
-    private static final long REREGISTRATION_NANOS = Duration.ofMillis(3_500).toNanos();
+    /** Upstreams register again within two seconds, and the list is read at least every 1.15 s. */
+    private static final long REREGISTRATION_NANOS = Duration.ofMillis(3_150).toNanos();
 
     private final Optional<Long> holdNanos;
 
@@ -37,16 +31,22 @@
         return new AbsencePolicy(Optional.of(hold.toNanos()));
     }
 
-    boolean shouldRemove(Absence absence, long nowNanos) {
-        if (holdNanos.isEmpty()) {
-            return false;
-        }
-        long hold = isLikelyRegistryLoss(absence) ? Math.max(holdNanos.get(), REREGISTRATION_NANOS) : holdNanos.get();
-        return nowNanos - absence.sinceNanos() >= hold;
+    /** Returns whether an upstream that disappears now may only have lost its entry in a disturbance. */
+    boolean isDoubtful(Optional<Long> disturbedNanos, long nowNanos) {
+        return disturbedNanos
+                .filter(disturbed -> nowNanos - disturbed < REREGISTRATION_NANOS)
+                .isPresent();
     }
 
-    private static boolean isLikelyRegistryLoss(Absence absence) {
-        return absence.simultaneous() >= MIN_SIMULTANEOUS_LOSSES
-                && absence.simultaneous() > MIN_LOST_FRACTION * absence.previouslyListed();
+    /**
+     * Returns whether an upstream is removed now.
+     *
+     * @param disturbedNanos the time of the last known disturbance of the registry; empty if there was none
+     */
+    boolean shouldRemove(Absence absence, Optional<Long> disturbedNanos, long nowNanos) {
+        if (holdNanos.isEmpty() || (absence.doubtful() && isDoubtful(disturbedNanos, nowNanos))) {
+            return false;
+        }
+        return nowNanos - absence.sinceNanos() >= holdNanos.get();
     }
 }
--- a/core/src/main/java/org/sardinepost/core/membership/Membership.java
+++ b/core/src/main/java/org/sardinepost/core/membership/Membership.java
@@ -19,7 +19,7 @@
  *
  * <p>The VM list can be outdated. A leaving mark therefore overrides a list that shows the upstream as live, until the
  * mark expires or a newer list shows the upstream as newly started: live after it was leaving or absent, or live with
- * another instance name. An upstream that disappears from the list is kept until a connection to it fails or the
+ * another instance name. A process that said itself that it is leaving stays marked as long as it is listed. An upstream that disappears from the list is kept until a connection to it fails or the
  * absence policy removes it.
  *
  * <p>Not thread-safe: only the control thread uses it. Methods that update the state and return a boolean return
@@ -31,6 +31,7 @@
     private final LeavingMarks marks = new LeavingMarks();
     private final Map<UpstreamId, Absence> absences = new HashMap<>();
     private final AbsencePolicy absencePolicy;
+    private Optional<Long> lastDisturbedNanos = Optional.empty();
     private boolean listApplied;
     private long listRevision;
 
@@ -63,14 +64,35 @@
 
     /** Records that this daemon observed that an upstream is leaving. */
     public boolean markLeaving(UpstreamId upstream, LeavingSignal signal, long nowNanos) {
-        return marks.add(upstream, new LeavingMark(signal, nowNanos, Optional.empty()), nowNanos);
+        return markLeaving(upstream, signal, Optional.empty(), nowNanos);
+    }
+
+    /**
+     * Records that this daemon observed that an upstream is leaving.
+     *
+     * @param instance the process that is leaving; empty if the mark applies to any process at the address
+     */
+    public boolean markLeaving(UpstreamId upstream, LeavingSignal signal, Optional<String> instance, long nowNanos) {
+        return addMark(upstream, new LeavingMark(signal, instance, nowNanos, Optional.empty()), nowNanos);
     }
 
     /** Records that a peer observed {@code ageMillis} ago that an upstream is leaving. */
     public boolean markLeavingByPeer(
-            UpstreamId peer, UpstreamId upstream, LeavingSignal signal, long ageMillis, long nowNanos) {
+            UpstreamId peer,
+            UpstreamId upstream,
+            LeavingSignal signal,
+            Optional<String> instance,
+            long ageMillis,
+            long nowNanos) {
         long observedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis);
-        return marks.add(upstream, new LeavingMark(signal, observedNanos, Optional.of(peer)), nowNanos);
+        return addMark(upstream, new LeavingMark(signal, instance, observedNanos, Optional.of(peer)), nowNanos);
+    }
+
+    /** Records that the registry behind the VM list was unavailable, slow or had lost its history at this time. */
+    public void registryDisturbed(long disturbedNanos) {
+        lastDisturbedNanos = lastDisturbedNanos
+                .filter(previous -> previous - disturbedNanos >= 0)
+                .or(() -> Optional.of(disturbedNanos));
     }
 
     /** Records that a connection to an upstream could not be established. */
@@ -86,36 +108,45 @@
 
     /** Removes expired marks and absent upstreams that are no longer kept. */
     public boolean expire(long nowNanos) {
-        Set<UpstreamId> expiredMarks = marks.removeExpired(nowNanos);
+        Map<UpstreamId, Optional<String>> listedInstances = new HashMap<>();
+        listedUpstreams.values().forEach(upstream -> listedInstances.put(upstream.id(), upstream.instance()));
+        Set<UpstreamId> expiredMarks = marks.removeExpired(listedInstances, nowNanos);
         // An upstream that was marked as leaving and is no longer listed has left.
         expiredMarks.stream().filter(this::isAbsent).forEach(this::removeUpstream);
         return removeExpiredAbsences(nowNanos) || !expiredMarks.isEmpty();
     }
 
     public boolean leaving(UpstreamId upstream) {
-        return marks.mark(upstream).isPresent() || isListedAs(upstream, ListedState.LEAVING);
+        return mark(upstream).isPresent() || isListedAs(upstream, ListedState.LEAVING);
     }
 
-    /** Returns the active leaving mark of the upstream. */
+    /** Returns the leaving mark that applies to the process at the address. */
     public Optional<LeavingMark> mark(UpstreamId upstream) {
-        return marks.mark(upstream);
+        return marks.mark(upstream, listedInstance(upstream));
     }
 
     /** Returns all upstreams that are marked or listed as leaving. */
     public Set<UpstreamId> leavingUpstreams() {
-        Set<UpstreamId> leaving = new HashSet<>(marks.asMap().keySet());
-        listedUpstreams.keySet().stream().filter(this::leaving).forEach(leaving::add);
-        return Set.copyOf(leaving);
+        Set<UpstreamId> candidates = new HashSet<>(marks.upstreams());
+        candidates.addAll(listedUpstreams.keySet());
+        return candidates.stream().filter(this::leaving).collect(Collectors.toUnmodifiableSet());
     }
 
     /**
      * Returns the marks from this daemon's own observations. Marks of peers are not forwarded, because
      * otherwise they would never expire.
      */
-    public Map<UpstreamId, LeavingMark> ownMarks() {
-        return marks.asMap().entrySet().stream()
-                .filter(entry -> entry.getValue().peer().isEmpty())
-                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
+    public Map<UpstreamId, List<LeavingMark>> ownMarks() {
+        Map<UpstreamId, List<LeavingMark>> ownMarks = new HashMap<>();
+        for (UpstreamId upstream : marks.upstreams()) {
+            List<LeavingMark> own = marks.marks(upstream).stream()
+                    .filter(mark -> mark.peer().isEmpty())
+                    .toList();
+            if (!own.isEmpty()) {
+                ownMarks.put(upstream, own);
+            }
+        }
+        return ownMarks;
     }
 
     /** Returns the upstreams that new requests may be sent to, grouped by service. */
@@ -155,7 +186,7 @@
         listedUpstreams.put(upstream.id(), upstream);
         absences.remove(upstream.id());
         if (newlyStarted) {
-            return marks.recordStart(upstream.id(), nowNanos);
+            return marks.recordStart(upstream.id(), upstream.instance(), nowNanos);
         }
         return becameLeaving && markLeaving(upstream.id(), LeavingSignal.VM_LIST, nowNanos);
     }
@@ -163,10 +194,7 @@
     private boolean updateUnlisted(Set<UpstreamId> currentUpstreams, long nowNanos) {
         Map<UpstreamId, ListedUpstream> unlistedUpstreams = new HashMap<>(listedUpstreams);
         unlistedUpstreams.keySet().removeAll(currentUpstreams);
-        long disappeared = unlistedUpstreams.values().stream()
-                .filter(upstream -> upstream.state() == ListedState.LIVE)
-                .count();
-        Absence absence = new Absence(nowNanos, (int) disappeared, listedUpstreams.size());
+        Absence absence = new Absence(nowNanos, absencePolicy.isDoubtful(lastDisturbedNanos, nowNanos));
         unlistedUpstreams.forEach((id, upstream) -> {
             if (upstream.state() == ListedState.LEAVING) {
                 removeUpstream(id);
@@ -180,7 +208,7 @@
 
     private boolean removeExpiredAbsences(long nowNanos) {
         List<UpstreamId> expiredAbsences = absences.entrySet().stream()
-                .filter(entry -> absencePolicy.shouldRemove(entry.getValue(), nowNanos))
+                .filter(entry -> absencePolicy.shouldRemove(entry.getValue(), lastDisturbedNanos, nowNanos))
                 .map(Map.Entry::getKey)
                 .toList();
         expiredAbsences.forEach(this::removeUpstream);
@@ -192,6 +220,14 @@
         absences.remove(upstream);
     }
 
+    private boolean addMark(UpstreamId upstream, LeavingMark mark, long nowNanos) {
+        return marks.add(upstream, mark, listedInstance(upstream), nowNanos);
+    }
+
+    private Optional<String> listedInstance(UpstreamId upstream) {
+        return Optional.ofNullable(listedUpstreams.get(upstream)).flatMap(ListedUpstream::instance);
+    }
+
     private boolean instanceChanged(ListedUpstream upstream) {
         return !listedUpstreams.get(upstream.id()).instance().equals(upstream.instance());
     }
--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -71,7 +71,7 @@
     public CompletableFuture<Dispatch> acquire(DispatchRequest request, long nowNanos) {
         CompletableFuture<Dispatch> future = new CompletableFuture<>();
         QueuedCall call = new QueuedCall(request, future);
-        List<UpstreamId> toProbe;
+        List<Upstream> toProbe;
         synchronized (this) {
             if (QueueAdmissionPolicy.cannotMeetDeadline(request, typicalNanos(request), nowNanos)) {
                 return CompletableFuture.failedFuture(deadlineTooShort(request, nowNanos));
@@ -106,7 +106,7 @@
         return selector.select(states.values(), request, selectionContext(request, nowNanos), assumeNormalSpeed);
     }
 
-    private void sendProbes(List<UpstreamId> upstreams) {
+    private void sendProbes(List<Upstream> upstreams) {
         probe.ifPresent(loadProbe -> upstreams.forEach(loadProbe::send));
     }
 
@@ -118,13 +118,13 @@
         return serviceTimes.typicalNanos(request.kind());
     }
 
-    private List<UpstreamId> upstreamsToProbe(DispatchRequest request, long nowNanos) {
+    private List<Upstream> upstreamsToProbe(DispatchRequest request, long nowNanos) {
         if (probe.isEmpty()) {
             return List.of();
         }
         return selector.probeTargets(states.values(), request, selectionContext(request, nowNanos)).stream()
                 .filter(state -> probeRateLimiter.tryAcquire(state, nowNanos))
-                .map(UpstreamState::id)
+                .map(UpstreamState::upstream)
                 .toList();
     }
 
@@ -310,7 +310,7 @@
             QueuedCall call = next.get().call();
             Optional<UpstreamState> state = selectUpstream(call, next.get().queuedNanos(), nowNanos);
             if (state.isEmpty()) {
-                List<UpstreamId> toProbe = upstreamsToProbe(call.request(), nowNanos);
+                List<Upstream> toProbe = upstreamsToProbe(call.request(), nowNanos);
                 completions.thenRun(() -> sendProbes(toProbe));
                 return;
             }
--- a/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
@@ -318,7 +318,7 @@
             inFlight--;
             recordCompletion(result.kind(), nowNanos);
             if (result.leaving()) {
-                setLeaving(states.get(state.id()));
+                setLeaving(state);
             }
             dispatchQueued(completions, nowNanos);
         }
--- a/core/src/main/java/org/sardinepost/core/routing/LoadProbe.java
+++ b/core/src/main/java/org/sardinepost/core/routing/LoadProbe.java
@@ -6,5 +6,5 @@
  */
 @FunctionalInterface
 public interface LoadProbe {
-    void send(UpstreamId upstream);
+    void send(Upstream upstream);
 }
--- a/core/src/main/java/org/sardinepost/core/text/Service.java
+++ b/core/src/main/java/org/sardinepost/core/text/Service.java
@@ -17,6 +17,7 @@
 
     private final String name;
     private final boolean external;
+    private final boolean directCalls;
     private final List<String> hosts;
     private final List<String> dependsOn;
     private final List<Upstream> upstreams;
@@ -34,6 +35,7 @@
     private Service(Builder builder) {
         this.name = Objects.requireNonNull(builder.name);
         this.external = builder.external;
+        this.directCalls = builder.directCalls;
         this.hosts = List.copyOf(builder.hosts);
         this.dependsOn = List.copyOf(builder.dependsOn);
         this.upstreams = List.copyOf(builder.upstreams);
@@ -62,6 +64,11 @@
         return external;
     }
 
+    /** Returns whether a Host header with the name or a host of the service selects it; otherwise only routes do. */
+    public boolean directCalls() {
+        return directCalls;
+    }
+
     /** Returns the additional values of the Host header that identify this service. */
     public List<String> hosts() {
         return hosts;
@@ -145,6 +152,7 @@
     public static final class Builder {
         private final String name;
         private boolean external;
+        private boolean directCalls = true;
         private List<String> hosts = List.of();
         private List<String> dependsOn = List.of();
         private List<Upstream> upstreams = List.of();
@@ -168,6 +176,11 @@
             return this;
         }
 
+        public Builder directCalls(boolean value) {
+            this.directCalls = value;
+            return this;
+        }
+
         public Builder hosts(List<String> value) {
             this.hosts = value;
             return this;
--- a/core/src/main/java/org/sardinepost/core/text/ServiceKeys.java
+++ b/core/src/main/java/org/sardinepost/core/text/ServiceKeys.java
@@ -22,6 +22,8 @@
 public final class ServiceKeys {
     public static final Key<Boolean> EXTERNAL = Key.optional("external", new TrueOrFalse(), "false");
 
+    public static final Key<Boolean> DIRECT_CALLS = Key.optional("direct-calls", new TrueOrFalse(), "true");
+
     public static final Key<List<String>> HOSTS = Key.optional("hosts", new ListOf<>(new HostName()), "");
 
     public static final Key<List<String>> DEPENDS_ON = Key.optional("depends-on", new ListOf<>(new Name()), "");
@@ -58,6 +60,7 @@
             false,
             List.of(
                     EXTERNAL,
+                    DIRECT_CALLS,
                     HOSTS,
                     DEPENDS_ON,
                     UPSTREAMS,
--- a/core/src/main/java/org/sardinepost/core/text/ServicesTextReader.java
+++ b/core/src/main/java/org/sardinepost/core/text/ServicesTextReader.java
@@ -49,6 +49,7 @@
     private static Service toService(IniSection section) {
         return Service.builder(ServiceKeys.SECTION.nameOf(section))
                 .external(ServiceKeys.EXTERNAL.read(section))
+                .directCalls(ServiceKeys.DIRECT_CALLS.read(section))
                 .hosts(ServiceKeys.HOSTS.read(section))
                 .dependsOn(ServiceKeys.DEPENDS_ON.read(section))
                 .upstreams(ServiceKeys.UPSTREAMS.read(section))
--- a/core/src/test/java/org/sardinepost/core/membership/MembershipTest.java
+++ b/core/src/test/java/org/sardinepost/core/membership/MembershipTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -33,13 +34,13 @@
         @Test
         void peerMarkHasTheSameEffectAsAnOwnObservation() {
             applyList(0, live(FIRST), live(SECOND));
-            membership.markLeavingByPeer(PEER, FIRST, LeavingSignal.ANSWER_HEADER, 500, minutes(1));
+            membership.markLeavingByPeer(PEER, FIRST, LeavingSignal.ANSWER_HEADER, Optional.empty(), 500, minutes(1));
             assertThat(dispatchable()).containsExactly(SECOND);
         }
 
         @Test
         void peerMarkIsNotForwarded() {
-            membership.markLeavingByPeer(PEER, FIRST, LeavingSignal.ANSWER_HEADER, 0, minutes(1));
+            membership.markLeavingByPeer(PEER, FIRST, LeavingSignal.ANSWER_HEADER, Optional.empty(), 0, minutes(1));
             membership.markLeaving(SECOND, LeavingSignal.ANSWER_HEADER, minutes(1));
             assertThat(membership.ownMarks().keySet()).containsExactly(SECOND);
         }
@@ -77,7 +78,12 @@
             applyList(2);
             applyList(3, live(FIRST));
             membership.markLeavingByPeer(
-                    PEER, FIRST, LeavingSignal.ANSWER_HEADER, TimeUnit.MINUTES.toMillis(2), minutes(4));
+                    PEER,
+                    FIRST,
+                    LeavingSignal.ANSWER_HEADER,
+                    Optional.empty(),
+                    TimeUnit.MINUTES.toMillis(2),
+                    minutes(4));
             assertThat(dispatchable()).containsExactly(FIRST);
         }
 
@@ -100,6 +106,140 @@
         }
     }
 
+    /** Marks of processes that said themselves that they are leaving. */
+    @Nested
+    class InstanceMarks {
+        private static final Optional<String> OLD = Optional.of("i-1.1");
+        private static final Optional<String> NEW = Optional.of("i-1.2");
+
+        private Vm instance(Optional<String> name) {
+            return new Vm(FIRST, VmRole.UPSTREAM, "booking", "brno-1", VmState.LIVE, name);
+        }
+
+        @Test
+        void lastAsLongAsTheInstanceIsListed() {
+            applyList(0, instance(OLD));
+            membership.markLeaving(FIRST, LeavingSignal.ANSWER_HEADER, OLD, minutes(1));
+            membership.expire(minutes(30));
+            applyList(31, instance(OLD));
+
+            assertThat(dispatchable()).isEmpty();
+        }
+
+        @Test
+        void surviveTheLossOfTheEntry() {
+            applyList(0, instance(OLD));
+            membership.markLeaving(FIRST, LeavingSignal.ANSWER_HEADER, OLD, minutes(1));
+            applyList(2);
+            applyList(3, instance(OLD));
+
+            assertThat(dispatchable()).isEmpty();
+        }
+
+        @Test
+        void doNotApplyToANewInstance() {
+            applyList(0, instance(OLD));
+            membership.markLeaving(FIRST, LeavingSignal.ANSWER_HEADER, OLD, minutes(1));
+            applyList(2, instance(NEW));
+            assertThat(dispatchable()).containsExactly(FIRST);
+            // A response of the old process that arrives after the list.
+            membership.markLeaving(FIRST, LeavingSignal.ANSWER_HEADER, OLD, minutes(3));
+
+            assertThat(dispatchable()).containsExactly(FIRST);
+        }
+
+        @Test
+        void ofPeersThatAreAheadOfTheListApplyOnceItShowsTheInstance() {
+            applyList(0, instance(OLD));
+            membership.markLeavingByPeer(PEER, FIRST, LeavingSignal.ANSWER_HEADER, NEW, 0, minutes(1));
+            assertThat(dispatchable()).containsExactly(FIRST);
+            applyList(2, instance(NEW));
+
+            assertThat(dispatchable()).isEmpty();
+        }
+
+        @Test
+        void ofPeersApplyHoweverOldTheyAre() {
+            applyList(0, instance(OLD));
+            membership.markLeavingByPeer(
+                    PEER, FIRST, LeavingSignal.ANSWER_HEADER, OLD, TimeUnit.MINUTES.toMillis(40), minutes(60));
+
+            assertThat(dispatchable()).isEmpty();
+        }
+
+        @Test
+        void areForgottenAfterTheInstanceIsGone() {
+            applyList(0, instance(OLD));
+            membership.markLeaving(FIRST, LeavingSignal.ANSWER_HEADER, OLD, minutes(1));
+            applyList(2, instance(NEW));
+            membership.expire(minutes(12));
+
+            assertThat(membership.ownMarks()).isEmpty();
+        }
+    }
+
+    /** Upstreams that disappear from the list of a registry whose entries expire. */
+    @Nested
+    class Registry {
+        private static final long SECOND_NANOS = 1_000_000_000L;
+        private static final List<UpstreamId> SERVERS =
+                List.of(FIRST, SECOND, new UpstreamId("10.0.1.3", 7001), new UpstreamId("10.0.1.4", 7001));
+
+        private final Membership registered = new Membership(AbsencePolicy.removeAfter(Duration.ofMillis(300)));
+        private long listRevision;
+
+        private void list(double atSeconds, List<UpstreamId> listed) {
+            List<Vm> vms = listed.stream().map(MembershipTest::live).toList();
+            registered.applyList(new VmList(vms), ++listRevision, (long) (atSeconds * SECOND_NANOS));
+        }
+
+        private int usable(double atSeconds) {
+            registered.expire((long) (atSeconds * SECOND_NANOS));
+            return registered
+                    .upstreamsByService()
+                    .getOrDefault("booking", List.of())
+                    .size();
+        }
+
+        @Test
+        void removalOfManyCountsAtOnceIfTheRegistryWasNotDisturbed() {
+            list(0, SERVERS);
+            list(10, SERVERS.subList(0, 1));
+
+            assertThat(usable(10.35)).isEqualTo(1);
+        }
+
+        @Test
+        void entriesThatExpiredDuringADisturbanceHaveTwoSecondsToComeBack() {
+            list(0, SERVERS);
+            registered.registryDisturbed(10 * SECOND_NANOS);
+            list(10.5, List.of());
+            assertThat(usable(12)).isEqualTo(4);
+            list(12.5, SERVERS.subList(0, 3));
+
+            assertThat(usable(13)).isEqualTo(4);
+            assertThat(usable(13.2)).isEqualTo(3);
+        }
+
+        @Test
+        void removalThatWasReadBeforeADisturbanceIsNotDelayedByIt() {
+            list(0, SERVERS);
+            list(10, SERVERS.subList(0, 3));
+            registered.registryDisturbed((long) (10.2 * SECOND_NANOS));
+
+            assertThat(usable(10.35)).isEqualTo(3);
+        }
+
+        @Test
+        void removalLongAfterADisturbanceCountsAtOnce() {
+            list(0, SERVERS);
+            registered.registryDisturbed(10 * SECOND_NANOS);
+            list(13.5, SERVERS.subList(0, 3));
+
+            assertThat(usable(13.85)).isEqualTo(3);
+        }
+    }
+
     @Nested
     class Absence {
         @Test
--- a/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
@@ -165,8 +165,10 @@
     @Nested
     class Dispatching {
         private final List<UpstreamId> probed = new ArrayList<>();
-        private final CentralDispatcher dispatcher =
-                new CentralDispatcher(DispatcherSettings.of(1, "a"), new SplittableRandom(1), Optional.of(probed::add));
+        private final CentralDispatcher dispatcher = new CentralDispatcher(
+                DispatcherSettings.of(1, "a"),
+                new SplittableRandom(1),
+                Optional.of(upstream -> probed.add(upstream.id())));
         private final UpstreamId first = new UpstreamId("10.0.0.1", 80);
         private final UpstreamId second = new UpstreamId("10.0.0.2", 80);
         private long now = 1_000 * MILLIS;
--- a/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
+++ b/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
@@ -58,7 +58,7 @@
         this.random = new SplittableRandom(seed);
         this.slowdownSeed = random.nextLong();
         this.slowHostFraction = slowHostFraction;
-        Optional<LoadProbe> probe = probingEnabled ? Optional.of(this::probe) : Optional.empty();
+        Optional<LoadProbe> probe = probingEnabled ? Optional.of(upstream -> probe(upstream.id())) : Optional.empty();
         this.dispatcher = new CentralDispatcher(DispatcherSettings.of(SLOTS, "a"), random.split(), probe);
         dispatcher.setMeasuringBudget(2_000);
         for (int i = 0; i < upstreamCount; i++) {
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -104,7 +104,7 @@
 
     private Function<Service, Dispatcher> dispatcherFactory(DaemonSettings settings, DaemonExtensions extensions) {
         UpstreamProber prober = new UpstreamProber(httpClient, extensions.upstreamProtocol());
-        return DispatcherFactory.of(settings, () -> controlPlane().placement(), prober, scheduler);
+        return DispatcherFactory.of(settings, () -> controlPlane().placement(), prober, this::controlPlane, scheduler);
     }
 
     private Optional<TimedCentralDispatcher> centralDispatcher(String service) {
--- a/daemon/src/main/java/org/sardinepost/daemon/DispatcherFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DispatcherFactory.java
@@ -12,9 +12,12 @@
 import org.sardinepost.core.routing.DispatcherSettings;
 import org.sardinepost.core.routing.JointLoadDispatcher;
 import org.sardinepost.core.routing.LoadProbe;
+import org.sardinepost.core.routing.ReportedLoad;
+import org.sardinepost.core.routing.Upstream;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.core.settings.PlacementMode;
 import org.sardinepost.core.text.Service;
+import org.sardinepost.daemon.call.UpstreamObserver;
 import org.sardinepost.daemon.call.UpstreamProber;
 import org.sardinepost.daemon.placement.Placement;
 import org.sardinepost.daemon.placement.SharedDispatcher;
@@ -25,21 +28,34 @@
     private final DaemonSettings settings;
     private final Supplier<Placement> placement;
     private final UpstreamProber prober;
+    private final Supplier<UpstreamObserver> observer;
     private final Scheduler scheduler;
     private final SecureRandom seedSource = new SecureRandom();
 
     private DispatcherFactory(
-            DaemonSettings settings, Supplier<Placement> placement, UpstreamProber prober, Scheduler scheduler) {
+            DaemonSettings settings,
+            Supplier<Placement> placement,
+            UpstreamProber prober,
+            Supplier<UpstreamObserver> observer,
+            Scheduler scheduler) {
         this.settings = settings;
         this.placement = placement;
         this.prober = prober;
+        this.observer = observer;
         this.scheduler = scheduler;
     }
 
-    /** Returns the factory function of a daemon. The placement is requested when the first service is registered. */
+    /**
+     * Returns the factory function of a daemon. The placement and the observer are requested when the first service is
+     * registered.
+     */
     static Function<Service, Dispatcher> of(
-            DaemonSettings settings, Supplier<Placement> placement, UpstreamProber prober, Scheduler scheduler) {
-        return new DispatcherFactory(settings, placement, prober, scheduler)::create;
+            DaemonSettings settings,
+            Supplier<Placement> placement,
+            UpstreamProber prober,
+            Supplier<UpstreamObserver> observer,
+            Scheduler scheduler) {
+        return new DispatcherFactory(settings, placement, prober, observer, scheduler)::create;
     }
 
     private Dispatcher create(Service service) {
@@ -57,8 +73,17 @@
 
     private CentralDispatcher createCentralDispatcher(Service service, DispatcherSettings dispatcherSettings) {
         AtomicReference<CentralDispatcher> dispatcher = new AtomicReference<>();
-        UpstreamProber.Listener listener =
-                (upstream, load) -> dispatcher.get().recordProbeResponse(upstream, load, System.nanoTime());
+        UpstreamProber.Listener listener = new UpstreamProber.Listener() {
+            @Override
+            public void loadReported(Upstream upstream, ReportedLoad load) {
+                dispatcher.get().recordProbeResponse(upstream.id(), load, System.nanoTime());
+            }
+
+            @Override
+            public void leavingReported(Upstream upstream) {
+                observer.get().leaving(upstream.id(), upstream.instance());
+            }
+        };
         Optional<LoadProbe> probe =
                 service.healthPath().map(path -> upstream -> prober.probe(upstream, path, listener));
         dispatcher.set(new CentralDispatcher(dispatcherSettings, newRandom(), probe));
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -17,6 +17,7 @@
     private static final long LENGTH_UNKNOWN = -1;
     private static final int ABORT_ATTEMPTS = 50;
     private static final long ABORT_INTERVAL_MILLIS = 10;
+    private static final ByteBuffer NO_BODY = ByteBuffer.allocate(0);
     private static final long MAX_BODY_BYTES = Integer.MAX_VALUE - 8;
 
     private final Request exchange;
@@ -28,6 +29,10 @@
     private volatile boolean requestBegun;
     private volatile boolean responseBegun;
     private volatile boolean completed;
+    /** The translated head of the response; absent until its headers arrive. */
+    private BufferedResponse head;
+
+    private boolean truncated;
     private BodyBuffer body = new BodyBuffer(0);
     private long reservedBytes;
 
@@ -68,8 +73,28 @@
         responseBegun = true;
     }
 
+    /**
+     * Translates the head as soon as it arrives: a connection with a response that is not believed must be closed before
+     * the client can use it for another request.
+     */
     @Override
     public void onHeaders(Response response) {
+        if (HttpStatus.isInformational(response.getStatus()) || !hasReliableEnd(response)) {
+            return;
+        }
+        BufferedResponse sentHead =
+                new BufferedResponse(response.getStatus(), EndToEndHeaders.of(response.getHeaders()), NO_BODY);
+        try {
+            head = protocol.translateResponse(sentRequest, sentHead);
+        } catch (SendException e) {
+            fail(e);
+            return;
+        }
+        if (!protocol.permitsConnectionReuse(sentRequest, sentHead)) {
+            responseFuture.complete(head);
+            abort(new CancellationException("the connection must not be reused"));
+            return;
+        }
         long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
         if (hasBody(response) && length > 0 && reserveUpTo(length)) {
             body = new BodyBuffer((int) length);
@@ -103,7 +128,10 @@
     }
 
     private void fail(SendException.Kind kind, String message) {
-        SendException failure = new SendException(kind, message, null);
+        fail(new SendException(kind, message, null));
+    }
+
+    private void fail(SendException failure) {
         responseFuture.completeExceptionally(failure);
         abort(failure);
     }
@@ -136,6 +164,17 @@
                 });
     }
 
+    /** The client accepts a chunked body without the line break after its last chunk if the connection is closed there. */
+    @Override
+    public void onSuccess(Response response) {
+        truncated = isChunked(response) && inputEnded();
+    }
+
+    private boolean inputEnded() {
+        return exchange.getConnection() instanceof org.eclipse.jetty.io.Connection connection
+                && connection.getEndPoint().isInputShutdown();
+    }
+
     @Override
     public void onComplete(Result result) {
         completed = true;
@@ -147,6 +186,9 @@
     }
 
     private boolean complete(Result result) {
+        if (responseFuture.isDone()) {
+            return false;
+        }
         if (result.isFailed()) {
             responseFuture.completeExceptionally(new SendException(
                     failureKind(),
@@ -172,16 +214,14 @@
                     null));
             return false;
         }
-        BufferedResponse buffered = new BufferedResponse(
-                response.getStatus(), EndToEndHeaders.of(response.getHeaders()), body.toByteBuffer());
-        try {
-            return responseFuture.complete(protocol.translateResponse(sentRequest, buffered));
-        } catch (SendException e) {
-            // Another response may still arrive on this connection, so it must not be reused.
-            closeConnection();
-            responseFuture.completeExceptionally(e);
+        if (truncated) {
+            responseFuture.completeExceptionally(new SendException(
+                    SendException.Kind.ANSWER_INCOMPLETE,
+                    "the connection was closed before the end of the body",
+                    null));
             return false;
         }
+        return responseFuture.complete(new BufferedResponse(head.status(), head.headers(), body.toByteBuffer()));
     }
 
     private void closeConnection() {
@@ -206,7 +246,11 @@
         return protocol.acceptsCloseDelimitedResponses()
                 || !hasBody(response)
                 || response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) != LENGTH_UNKNOWN
-                || response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, "chunked");
+                || isChunked(response);
+    }
+
+    private static boolean isChunked(Response response) {
+        return response.getHeaders().contains(HttpHeader.TRANSFER_ENCODING, "chunked");
     }
 
     private boolean hasBody(Response response) {
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ServiceRegistry.java
@@ -49,6 +49,7 @@
             service.hosts().forEach(host -> byHost.put(HostName.normalized(host), registered));
         }
         byName.forEach((name, registered) -> byHost.put(HostName.normalized(name), registered));
+        byHost.values().removeIf(registered -> !registered.service().directCalls());
         snapshot = new Snapshot(Map.copyOf(byName), Map.copyOf(byHost), text.routeTable());
     }
 
@@ -83,7 +84,7 @@
 
     /**
      * Finds the destination of a call: a service of the matching route or, if no route has the host, the service that the
-     * host selects.
+     * host selects if it permits direct calls.
      *
      * @param hostHeader the Host header; its port is ignored
      * @param path the path as the caller sent it
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.call;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
@@ -28,17 +29,20 @@
      */
     CompletableFuture<BufferedResponse> send(
             UpstreamId upstream, BufferedRequest request, long responseLimitBytes, HeldBytesReservation reservation) {
-        return send(upstream, protocol.translateRequest(request), protocol, responseLimitBytes, reservation);
+        Optional<String> instance = Optional.ofNullable(request.headers().get(CallHeaders.INSTANCE));
+        return send(upstream, instance, protocol.translateRequest(request), protocol, responseLimitBytes, reservation);
     }
 
     /** Sends a request once to another daemon, with the same failures as {@link #send}. */
     CompletableFuture<BufferedResponse> sendToDaemon(
             UpstreamId daemon, BufferedRequest request, long responseLimitBytes, HeldBytesReservation reservation) {
-        return send(daemon, request, UpstreamProtocol.untranslated(), responseLimitBytes, reservation);
+        return send(
+                daemon, Optional.empty(), request, UpstreamProtocol.untranslated(), responseLimitBytes, reservation);
     }
 
     private CompletableFuture<BufferedResponse> send(
             UpstreamId upstream,
+            Optional<String> instance,
             BufferedRequest request,
             UpstreamProtocol upstreamProtocol,
             long responseLimitBytes,
@@ -63,8 +67,8 @@
         exchange.send(collector);
         CompletableFuture<BufferedResponse> responseFuture = collector.responseFuture();
         // Returns the original future: a derived one would wrap failures, and cancelling it would abort nothing.
-        var unused =
-                responseFuture.whenComplete((response, failure) -> observer.exchangeEnded(upstream, response, failure));
+        var unused = responseFuture.whenComplete(
+                (response, failure) -> observer.exchangeEnded(upstream, instance, response, failure));
         return responseFuture;
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamObserver.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamObserver.java
@@ -2,12 +2,17 @@
 
 import java.net.ConnectException;
 import java.util.Objects;
+import java.util.Optional;
 import org.sardinepost.core.routing.UpstreamId;
 
 /** Receives signals from responses and failures that an upstream is leaving or unreachable. Must not block. */
 public interface UpstreamObserver {
-    /** Called if a response states that the upstream is leaving. */
-    void leaving(UpstreamId upstream);
+    /**
+     * Called if a response states that the upstream is leaving.
+     *
+     * @param instance the process to which the request was sent; empty if the process was not named
+     */
+    void leaving(UpstreamId upstream, Optional<String> instance);
 
     /**
      * Called if no connection to the upstream could be established.
@@ -19,7 +24,7 @@
     static UpstreamObserver none() {
         return new UpstreamObserver() {
             @Override
-            public void leaving(UpstreamId upstream) {
+            public void leaving(UpstreamId upstream, Optional<String> instance) {
                 // This observer ignores all signals.
             }
 
@@ -31,9 +36,10 @@
     }
 
     /** Evaluates the response or the failure of one exchange. */
-    default void exchangeEnded(UpstreamId upstream, BufferedResponse response, Throwable failure) {
+    default void exchangeEnded(
+            UpstreamId upstream, Optional<String> instance, BufferedResponse response, Throwable failure) {
         if (response != null && ResponseClassifier.toDispatchResult(response).leaving()) {
-            leaving(upstream);
+            leaving(upstream, instance);
         }
         if (failure instanceof SendException sendFailure && sendFailure.kind() == SendException.Kind.NOT_WRITTEN) {
             connectionFailed(upstream, isConnectionRefused(sendFailure.getCause()));
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProber.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProber.java
@@ -4,20 +4,28 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.sardinepost.core.routing.ReportedLoad;
-import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.core.routing.Upstream;
 
 /** Queries the load of upstreams on the health path of their service. */
 public final class UpstreamProber {
     /** A response that arrives later does not reflect the load at the time of the routing decision. */
     private static final long PROBE_TIMEOUT_MILLIS = 50;
 
+    /**
+     * Selects connections of their own for probes. A late copy of the response to a probe, which nothing identifies, thus
+     * cannot be taken for the response to a call.
+     */
+    private static final String CONNECTION_TAG = "probe";
+
     private final HttpClient client;
     private final UpstreamProtocol protocol;
 
-    /** Receives the load that an upstream reports. */
-    @FunctionalInterface
+    /** Receives what an upstream reports in the response to a probe. */
     public interface Listener {
-        void loadReported(UpstreamId upstream, ReportedLoad load);
+        void loadReported(Upstream upstream, ReportedLoad load);
+
+        /** Called if the upstream reports that it is leaving, before its load is reported. */
+        void leavingReported(Upstream upstream);
     }
 
     public UpstreamProber(HttpClient client, UpstreamProtocol protocol) {
@@ -26,12 +34,17 @@
     }
 
     /** Sends a probe to one upstream. The listener is not called if no response arrives within the timeout. */
-    public void probe(UpstreamId upstream, String healthPath, Listener listener) {
-        Request request = client.newRequest(upstream.host(), upstream.port())
+    public void probe(Upstream upstream, String healthPath, Listener listener) {
+        Request request = client.newRequest(upstream.id().host(), upstream.id().port())
                 .path(healthPath)
+                .tag(CONNECTION_TAG)
                 .timeout(PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        request.onResponseHeaders(response ->
-                protocol.healthLoad(response.getHeaders()).ifPresent(load -> listener.loadReported(upstream, load)));
+        request.onResponseHeaders(response -> {
+            if (protocol.healthLeaving(response.getHeaders())) {
+                listener.leavingReported(upstream);
+            }
+            protocol.healthLoad(response.getHeaders()).ifPresent(load -> listener.loadReported(upstream, load));
+        });
         // A failed probe reports no load; the dispatcher then assumes the usual load.
         request.send(result -> {});
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
@@ -15,13 +15,31 @@
     BufferedRequest translateRequest(BufferedRequest request);
 
     /**
-     * Translates a response to the headers of the daemon.
+     * Translates the head of a response to that of the daemon. The body, which is not known yet, is empty.
      *
      * @param sentRequest the request in the form that was sent to the upstream
      * @throws SendException if this is not a response to the request
      */
     BufferedResponse translateResponse(BufferedRequest sentRequest, BufferedResponse response);
 
+    /**
+     * Returns whether another request may be sent on a connection after this response.
+     *
+     * <p>False if a late copy of the response could be mistaken for the response to the next request. The rest of such a
+     * response is not read, so it must not have a body that matters.
+     *
+     * @param sentRequest the request in the form that was sent to the upstream
+     * @param response the head of the response as the upstream sent it
+     */
+    default boolean permitsConnectionReuse(BufferedRequest sentRequest, BufferedResponse response) {
+        return true;
+    }
+
+    /** Returns whether an upstream reported on its health path that it is leaving. */
+    default boolean healthLeaving(HttpFields headers) {
+        return "1".equals(headers.get(CallHeaders.DRAINING));
+    }
+
     /** Returns the load that an upstream reported on its health path; empty if it reported none. */
     default Optional<ReportedLoad> healthLoad(HttpFields headers) {
         return Optional.ofNullable(headers.get(CallHeaders.LOAD)).flatMap(ReportedLoad::parse);
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -19,7 +19,6 @@
 import org.sardinepost.core.configuration.StartDecision;
 import org.sardinepost.core.configuration.TextOrigin;
 import org.sardinepost.core.membership.AbsencePolicy;
-import org.sardinepost.core.membership.LeavingSignal;
 import org.sardinepost.core.membership.Membership;
 import org.sardinepost.core.membership.PauseDetector;
 import org.sardinepost.core.membership.StateSource;
@@ -208,8 +207,8 @@
 
     /** Thread-safe. */
     @Override
-    public void leaving(UpstreamId upstream) {
-        control.execute(() -> membership.markLeaving(upstream, LeavingSignal.ANSWER_HEADER));
+    public void leaving(UpstreamId upstream, Optional<String> instance) {
+        control.execute(() -> membership.markLeaving(upstream, instance));
     }
 
     /** Thread-safe. */
--- a/daemon/src/main/java/org/sardinepost/daemon/control/LeavingMessages.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/LeavingMessages.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.control;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -11,23 +12,29 @@
 import org.sardinepost.peer.generated.ServiceLoad;
 import org.sardinepost.peer.generated.UpstreamLoad;
 
-/** Encodes and decodes leaving marks in load batches. A mark applies to an address, so its service name is empty. */
+/** Encodes and decodes leaving marks in load batches. A mark belongs to an address, so its service name is empty. */
 final class LeavingMessages {
     static final String NO_SERVICE = "";
 
     private LeavingMessages() {}
 
-    static PeerMessage encode(Map<UpstreamId, LeavingMark> marks, long nowNanos) {
+    static PeerMessage encode(Map<UpstreamId, List<LeavingMark>> marks, long nowNanos) {
         ServiceLoad.Builder loads = ServiceLoad.newBuilder().setService(NO_SERVICE);
-        marks.forEach((upstream, mark) -> loads.addUpstreams(UpstreamLoad.newBuilder()
-                .setAddress(upstream.toString())
-                .setLeaving(toWire(mark.signal()))
-                .setLeavingAgeMs(ageMillis(mark, nowNanos))));
+        marks.forEach((upstream, marksOfUpstream) ->
+                marksOfUpstream.forEach(mark -> loads.addUpstreams(encode(upstream, mark, nowNanos))));
         return PeerMessage.newBuilder()
                 .setLoadBatch(LoadBatch.newBuilder().addServices(loads))
                 .build();
     }
 
+    private static UpstreamLoad.Builder encode(UpstreamId upstream, LeavingMark mark, long nowNanos) {
+        return UpstreamLoad.newBuilder()
+                .setAddress(upstream.toString())
+                .setLeaving(toWire(mark.signal()))
+                .setLeavingAgeMs(ageMillis(mark, nowNanos))
+                .setLeavingInstance(mark.instance().orElse(""));
+    }
+
     static Optional<org.sardinepost.core.membership.LeavingSignal> fromWire(LeavingSignal signal) {
         return switch (signal) {
             case LEAVING_SIGNAL_ANSWER_HEADER -> Optional.of(
--- a/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
@@ -50,9 +50,14 @@
         publishIfChanged(membership.applyList(result.value().get(), value.revision(), clock.nanos()));
     }
 
-    /** Records an observation by this daemon that an upstream is leaving. */
-    void markLeaving(UpstreamId upstream, LeavingSignal signal) {
-        publishIfChanged(membership.markLeaving(upstream, signal, clock.nanos()));
+    /** Records that a process said in a response to this daemon that it is leaving. */
+    void markLeaving(UpstreamId upstream, Optional<String> instance) {
+        publishIfChanged(membership.markLeaving(upstream, LeavingSignal.ANSWER_HEADER, instance, clock.nanos()));
+    }
+
+    /** Records that the registry behind the VM list was unavailable, slow or had lost its history at this time. */
+    void registryDisturbed(long disturbedNanos) {
+        membership.registryDisturbed(disturbedNanos);
     }
 
     void connectionFailed(UpstreamId upstream, boolean refused) {
@@ -103,7 +108,12 @@
             return false;
         }
         return membership.markLeavingByPeer(
-                peer, upstream.get(), signal.get(), Integer.toUnsignedLong(load.getLeavingAgeMs()), clock.nanos());
+                peer,
+                upstream.get(),
+                signal.get(),
+                Optional.of(load.getLeavingInstance()).filter(instance -> !instance.isEmpty()),
+                Integer.toUnsignedLong(load.getLeavingAgeMs()),
+                clock.nanos());
     }
 
     private void publishIfChanged(boolean changed) {
@@ -121,7 +131,7 @@
         membership.mark(upstream).ifPresent(mark -> {
             LogEvent.UPSTREAM_LEAVING.info(upstream, mark.signal().label());
             if (mark.peer().isEmpty()) {
-                peers.sendToConnected(LeavingMessages.encode(Map.of(upstream, mark), clock.nanos()));
+                peers.sendToConnected(LeavingMessages.encode(Map.of(upstream, List.of(mark)), clock.nanos()));
             }
         });
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -31,6 +31,9 @@
     /** The number of peers that a daemon without state asks at once; more than one, since one may be frozen. */
     private static final int INITIAL_STATE_REQUESTS = 2;
 
+    /** An older disturbance no longer explains why an entry is missing. */
+    private static final long MAX_REPORTED_DISTURBANCE_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private static final PeerMessage STATE_REQUEST = PeerMessage.newBuilder()
             .setSourceStateRequest(SourceStateRequest.getDefaultInstance())
             .build();
@@ -43,6 +46,7 @@
     private final Runnable onRead;
     private final Clock clock;
     private final ReadSchedule readSchedule = new ReadSchedule();
+    private final SourceDisturbances disturbances;
     private final Set<UpstreamId> askedPeers = new HashSet<>();
     private final Set<UpstreamId> peersAwaitingState = new HashSet<>();
     private Optional<VmListText> vmList = Optional.empty();
@@ -67,6 +71,7 @@
         this.membership = membership;
         this.onRead = onRead;
         this.clock = clock;
+        this.disturbances = new SourceDisturbances(membership::registryDisturbed);
     }
 
     /** Reads the source if this daemon is due to read it. */
@@ -120,6 +125,9 @@
         if (state.getRevision() < revision) {
             return;
         }
+        if (state.hasDisturbanceAgeMs()) {
+            disturbances.reportedByPeer(clock.nanos() - TimeUnit.MILLISECONDS.toNanos(state.getDisturbanceAgeMs()));
+        }
         SourceStateCodec.decode(state, vmList).ifPresent(list -> applyVmList(list, state.getRevision()));
         TextDigest sentDigest = Digests.fromWire(state.getVmListDigest());
         if (vmList.filter(list -> list.digest().equals(sentDigest)).isEmpty()) {
@@ -175,6 +183,7 @@
 
     private void handleSnapshot(SourceSnapshot snapshot, long startNanos) {
         readSchedule.completed(startNanos);
+        disturbances.readCompleted(snapshot.historyLost(), startNanos, clock.nanos());
         if (down) {
             down = false;
             LogEvent.CONFIGURATION_SOURCE_RECOVERED.info(source.location());
@@ -194,10 +203,11 @@
     }
 
     private void handleFailure(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         readSchedule.failed(clock.nanos());
+        disturbances.readFailed(cause, clock.nanos());
         if (!down) {
             down = true;
-            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
             LogEvent.CONFIGURATION_SOURCE_DOWN.warn(source.location(), String.valueOf(cause.getMessage()));
         }
     }
@@ -241,11 +251,21 @@
     }
 
     private SourceState.Builder stateMessage(VmListText list, long ageNanos) {
-        return SourceState.newBuilder()
+        SourceState.Builder state = SourceState.newBuilder()
                 .setRevision(revision)
                 .setConfigurationRevision(heldTextRevision())
                 .setVmListDigest(Digests.toWire(list.digest()))
-                .setAgeMs((int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(ageNanos)));
+                .setAgeMs(millis(ageNanos));
+        disturbances
+                .lastCertainNanos()
+                .map(disturbed -> clock.nanos() - disturbed)
+                .filter(age -> age < MAX_REPORTED_DISTURBANCE_AGE_NANOS)
+                .ifPresent(age -> state.setDisturbanceAgeMs(millis(age)));
+        return state;
+    }
+
+    private static int millis(long nanos) {
+        return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(nanos));
     }
 
     /**
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SourceSnapshot.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SourceSnapshot.java
@@ -10,8 +10,14 @@
  *     daemons
  * @param servicesText the services text and the revision of its last change; empty if the source has none
  * @param vmList the VM list
+ * @param historyLost whether the source had discarded the changes since the previous read
  */
-public record SourceSnapshot(long revision, Optional<SourceValue> servicesText, String vmList) {
+public record SourceSnapshot(long revision, Optional<SourceValue> servicesText, String vmList, boolean historyLost) {
+    /** Creates a snapshot that continues the history of the previous read. */
+    public SourceSnapshot(long revision, Optional<SourceValue> servicesText, String vmList) {
+        this(revision, servicesText, vmList, false);
+    }
+
     public SourceSnapshot {
         Objects.requireNonNull(servicesText);
         Objects.requireNonNull(vmList);
--- a/daemon/src/test/java/org/sardinepost/daemon/ResponseTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ResponseTest.java
@@ -41,6 +41,7 @@
                     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
                     "HTTP/1.0 200 OK\r\n\r\nabc",
                     "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc",
                     "HTTP/1.1 200 OK\r\nContent-Le",
--- a/daemon/src/test/java/org/sardinepost/daemon/call/ServiceRegistryTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/call/ServiceRegistryTest.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.sardinepost.core.routing.LeastInFlightDispatcher;
+import org.sardinepost.core.text.Route;
+import org.sardinepost.core.text.RouteShare;
 import org.sardinepost.core.text.Service;
 import org.sardinepost.core.text.ServicesText;
 
@@ -41,6 +43,26 @@
         assertThat(service("a").retryBudget()).isNotSameInstanceAs(previous.retryBudget());
     }
 
+    @Test
+    void serviceWithoutDirectCallsIsReachedThroughItsRoutesOnly() {
+        Service service = Service.builder("orders")
+                .hosts(List.of("orders.example"))
+                .directCalls(false)
+                .build();
+        Route desk = Route.builder("r-2")
+                .host("orders")
+                .pathPrefix("/desk/")
+                .shares(List.of(new RouteShare("orders", 1)))
+                .build();
+        registry.apply(new ServicesText(1, 1, List.of(service), List.of(desk)), Map.of());
+        assertThat(registry.resolve("orders", "/desk/a", 0)).isPresent();
+        assertThat(registry.resolve("orders", "/other", 0)).isEmpty();
+        registry.apply(new ServicesText(2, 1, List.of(service), List.of()), Map.of());
+
+        assertThat(registry.resolve("orders", "/desk/a", 0)).isEmpty();
+        assertThat(registry.resolve("orders.example", "/", 0)).isEmpty();
+    }
+
     @Test
     void removedServiceIsUnknown() {
         apply(1, Service.builder("a").hosts(List.of("A.example")).build());
--- a/daemon/src/test/java/org/sardinepost/daemon/control/ControlPlaneTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/ControlPlaneTest.java
@@ -173,7 +173,7 @@
                     TestNode second = secondNode()) {
                 second.awaitVersion(1);
                 first.awaitConnected(1);
-                first.plane.leaving(UPSTREAM);
+                first.plane.leaving(UPSTREAM, Optional.empty());
                 await("the mark", () -> second.target.leaving.contains(UPSTREAM));
             }
         }
@@ -182,7 +182,7 @@
         void aDaemonThatStartsLaterGetsTheMark() throws Exception {
             try (TestNode first = firstNode()) {
                 first.awaitVersion(1);
-                first.plane.leaving(UPSTREAM);
+                first.plane.leaving(UPSTREAM, Optional.empty());
                 try (TestNode second = secondNode()) {
                     await("the mark", () -> second.target.leaving.contains(UPSTREAM));
                 }
