--- a/core/src/main/java/org/sardinepost/core/admission/PriorityCallQueue.java
+++ b/core/src/main/java/org/sardinepost/core/admission/PriorityCallQueue.java
@@ -5,6 +5,8 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.sardinepost.core.routing.DispatchRequest;
 
@@ -32,6 +34,10 @@
         entries.removeIf(entry -> entry.call() == call);
     }
 
+    public boolean anyMatch(Predicate<DispatchRequest> predicate) {
+        return entries.stream().anyMatch(entry -> predicate.test(entry.call().request()));
+    }
+
     /**
      * Returns the number of queued calls that would be dispatched before a new one.
      *
@@ -57,12 +63,16 @@
     /**
      * Returns the call to dispatch next.
      *
+     * @param blocked calls that cannot be dispatched now
      * @param typicalNanos the typical service time of a call; 0 while it is unknown
      */
-    public Optional<Entry> next(ToLongFunction<DispatchRequest> typicalNanos, long nowNanos) {
+    public Optional<Entry> next(Set<QueuedCall> blocked, ToLongFunction<DispatchRequest> typicalNanos, long nowNanos) {
         Entry best = null;
         boolean bestCanMeetTarget = false;
         for (Entry entry : entries) {
+            if (blocked.contains(entry.call())) {
+                continue;
+            }
             DispatchRequest request = entry.call().request();
             boolean canMeetTarget =
                     QueueAdmissionPolicy.canMeetTarget(request, typicalNanos.applyAsLong(request), nowNanos);
--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -1,10 +1,12 @@
 package org.sardinepost.core.routing;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.sardinepost.core.admission.LastSlotPolicy;
@@ -72,6 +74,7 @@
         CompletableFuture<Dispatch> future = new CompletableFuture<>();
         QueuedCall call = new QueuedCall(request, future);
         List<Upstream> toProbe;
+        DeferredCompletions completions = new DeferredCompletions();
         synchronized (this) {
             if (QueueAdmissionPolicy.cannotMeetDeadline(request, typicalNanos(request), nowNanos)) {
                 return CompletableFuture.failedFuture(deadlineTooShort(request, nowNanos));
@@ -88,7 +91,12 @@
             }
             queue.add(call, nowNanos);
             toProbe = upstreamsToProbe(request, nowNanos);
+            if (queue.anyMatch(queued -> !queued.closedUntilNanos().isEmpty())) {
+                // The calls ahead may be waiting for other upstreams than the new one.
+                dispatchQueued(completions, nowNanos);
+            }
         }
+        completions.complete(nowNanos);
         sendProbes(toProbe);
         var unused = future.whenComplete((dispatch, failure) -> removeCancelled(call));
         return future;
@@ -159,6 +167,11 @@
                     new RefusedException(RefusalReason.NO_UPSTREAM, "the service has no upstream that accepts calls")
                             .withRetryAfter(retryAfter(nowNanos)));
         }
+        if (allClosed(request, nowNanos)) {
+            return Optional.of(new RefusedException(
+                            RefusalReason.NO_UPSTREAM, "every upstream has asked the calling daemon for no calls")
+                    .withRetryAfter(retryAfter(nowNanos)));
+        }
         int callsAhead = callsAhead(request, nowNanos);
         long waitNanos = (callsAhead + 1) * completionIntervalNanos();
         if (QueueAdmissionPolicy.mayQueue(request, waitNanos, typicalNanos(request), nowNanos)) {
@@ -171,6 +184,13 @@
                 .withRetryAfter(retryAfter(nowNanos)));
     }
 
+    private boolean allClosed(DispatchRequest request, long nowNanos) {
+        return !request.closedUntilNanos().isEmpty()
+                && states.values().stream()
+                        .filter(UpstreamState::usable)
+                        .allMatch(state -> request.isClosed(state.id(), nowNanos));
+    }
+
     private int callsAhead(DispatchRequest request, long nowNanos) {
         return queue.callsAhead(request, this::typicalNanos, nowNanos);
     }
@@ -301,9 +321,11 @@
         }
     }
 
+    /** Dispatches the queued calls in their order. A call to which upstreams are closed does not block those behind it. */
     private void dispatchQueued(DeferredCompletions completions, long nowNanos) {
+        Set<QueuedCall> blocked = new HashSet<>();
         while (true) {
-            Optional<PriorityCallQueue.Entry> next = queue.next(this::typicalNanos, nowNanos);
+            Optional<PriorityCallQueue.Entry> next = queue.next(blocked, this::typicalNanos, nowNanos);
             if (next.isEmpty()) {
                 return;
             }
@@ -312,7 +334,11 @@
             if (state.isEmpty()) {
                 List<Upstream> toProbe = upstreamsToProbe(call.request(), nowNanos);
                 completions.thenRun(() -> sendProbes(toProbe));
-                return;
+                if (call.request().closedUntilNanos().isEmpty()) {
+                    return;
+                }
+                blocked.add(call);
+                continue;
             }
             queue.remove(call);
             completions.grant(call, grant(state.get(), call.request(), nowNanos));
@@ -325,15 +351,16 @@
             UpstreamState state = dispatch.state;
             state.inFlight--;
             if (state.usable()) {
-                recordLoad(state, result, nowNanos);
+                recordLoad(state, dispatch.request.origin(), result, nowNanos);
                 recordOutcome(dispatch, result, nowNanos);
             }
             if (result.kind() == DispatchResult.Kind.ANSWERED) {
+                state.fleetClosure.answered();
                 serviceTimes.recordResponse(dispatch.request.kind(), nowNanos - dispatch.startNanos);
                 state.idleConnections.release(dispatch.request.origin().daemon(), nowNanos);
             }
             if (result.leaving()) {
-                setLeaving(state);
+                setLeaving(state.sameProcessIn(states));
             }
             dispatchQueued(completions, nowNanos);
             refuseExpired(completions, nowNanos);
@@ -355,9 +382,12 @@
                 dispatch.state, outlierKind(dispatch.state, result), dispatch.trial, normalizedNanos, nowNanos);
     }
 
-    private void recordLoad(UpstreamState state, DispatchResult result, long nowNanos) {
+    private void recordLoad(UpstreamState state, Origin origin, DispatchResult result, long nowNanos) {
         boolean reportedFull =
                 result.load().map(load -> load.inFlight() >= load.slots()).orElse(true);
+        if (reportedFull) {
+            result.retryAfter().ifPresent(delay -> state.fleetClosure.turnedAway(origin.daemon(), delay, nowNanos));
+        }
         if (result.kind() == DispatchResult.Kind.REFUSED && reportedFull) {
             state.backoffUntilNanos = nowNanos + (long) (REFUSAL_BACKOFF_FRACTION * serviceTimes.meanNanos());
         }
--- a/core/src/main/java/org/sardinepost/core/routing/CentralUpstreamSelector.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralUpstreamSelector.java
@@ -60,7 +60,7 @@
         double bestCost = Double.MAX_VALUE;
         boolean bestExcluded = true;
         for (UpstreamState state : states) {
-            if (!isCandidate(state, context) || !mayStartNow(state, context, assumeNormalSpeed)) {
+            if (!isCandidate(state, request, context) || !mayStartNow(state, context, assumeNormalSpeed)) {
                 continue;
             }
             boolean isExcluded = request.excluded().contains(state.id());
@@ -80,7 +80,7 @@
         List<RankedUpstream> ranked = new ArrayList<>();
         for (UpstreamState state : states) {
             boolean stale = state.hostSlowdown.reportsSlowdown() && !state.hostSlowdown.fresh(context.nowNanos());
-            if (isCandidate(state, context) && stale) {
+            if (isCandidate(state, request, context) && stale) {
                 ranked.add(new RankedUpstream(state, cost(state, request, context)));
             }
         }
@@ -97,6 +97,7 @@
             boolean due = state.usable()
                     && state.inFlight == 0
                     && state.ejection.trialDue(nowNanos)
+                    && isOpen(state, request, nowNanos)
                     && !request.excluded().contains(state.id());
             if (due) {
                 return Optional.of(state);
@@ -105,8 +106,16 @@
         return Optional.empty();
     }
 
-    private static boolean isCandidate(UpstreamState state, SelectionContext context) {
-        return state.usable() && !state.ejection.ejected() && hasFreeSlot(state, context);
+    /** Returns whether the upstream may receive calls of the origin of the request. */
+    static boolean isOpen(UpstreamState state, DispatchRequest request, long nowNanos) {
+        return !state.fleetClosure.active(nowNanos) && !request.isClosed(state.id(), nowNanos);
+    }
+
+    private static boolean isCandidate(UpstreamState state, DispatchRequest request, SelectionContext context) {
+        return state.usable()
+                && !state.ejection.ejected()
+                && isOpen(state, request, context.nowNanos())
+                && hasFreeSlot(state, context);
     }
 
     /**
--- a/core/src/main/java/org/sardinepost/core/routing/DispatchRequest.java
+++ b/core/src/main/java/org/sardinepost/core/routing/DispatchRequest.java
@@ -1,5 +1,6 @@
 package org.sardinepost.core.routing;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 
@@ -15,6 +16,7 @@
  * @param priority the priority among the calls of the service; 0 is the most urgent
  * @param origin the daemon that sends the call
  * @param kind identifies calls with similar service times, for example by their route
+ * @param closedUntilNanos the upstreams that accept no calls of the origin, and until when on the monotonic clock
  */
 public record DispatchRequest(
         long deadlineNanos,
@@ -24,16 +26,42 @@
         long targetNanos,
         int priority,
         Origin origin,
-        String kind) {
+        String kind,
+        Map<UpstreamId, Long> closedUntilNanos) {
     /** Creates a request whose latency target equals its deadline. */
     public DispatchRequest(long deadlineNanos, int depth, long bodyBytes, Set<UpstreamId> excluded) {
         this(deadlineNanos, depth, bodyBytes, excluded, deadlineNanos, 0, Origin.unknown(), "");
     }
 
+    /** Creates a request to which every upstream is open. */
+    public DispatchRequest(
+            long deadlineNanos,
+            int depth,
+            long bodyBytes,
+            Set<UpstreamId> excluded,
+            long targetNanos,
+            int priority,
+            Origin origin,
+            String kind) {
+        this(deadlineNanos, depth, bodyBytes, excluded, targetNanos, priority, origin, kind, Map.of());
+    }
+
     public DispatchRequest {
         Objects.requireNonNull(excluded);
         Objects.requireNonNull(origin);
         Objects.requireNonNull(kind);
         excluded = Set.copyOf(excluded);
+        closedUntilNanos = Map.copyOf(closedUntilNanos);
+    }
+
+    /** Returns a copy with other closed upstreams. */
+    public DispatchRequest withClosed(Map<UpstreamId, Long> untilNanos) {
+        return new DispatchRequest(
+                deadlineNanos, depth, bodyBytes, excluded, targetNanos, priority, origin, kind, untilNanos);
+    }
+
+    boolean isClosed(UpstreamId upstream, long nowNanos) {
+        Long untilNanos = closedUntilNanos.get(upstream);
+        return untilNanos != null && untilNanos - nowNanos > 0;
     }
 }
--- a/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
@@ -26,6 +26,7 @@
 
     private DispatcherSettings settings;
     private final JointUpstreamSelector selector;
+    private final ClosedUpstreams closedUpstreams;
     private final ServiceAverages averages = new ServiceAverages();
     private final PeerLoads peers = new PeerLoads();
     private final ConcurrencyWindow concurrencyWindow = new ConcurrencyWindow();
@@ -37,8 +38,18 @@
     private int inFlight;
 
     public JointLoadDispatcher(DispatcherSettings settings, RandomGenerator random) {
+        this(settings, random, new ClosedUpstreams(random));
+    }
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param closedUpstreams the upstreams that get no calls of this daemon; those that ask for it are added
+     */
+    public JointLoadDispatcher(DispatcherSettings settings, RandomGenerator random, ClosedUpstreams closedUpstreams) {
         this.settings = settings;
-        this.selector = new JointUpstreamSelector(random);
+        this.closedUpstreams = closedUpstreams;
+        this.selector = new JointUpstreamSelector(random, closedUpstreams);
         this.queue = new DepthCallQueue(settings.maxQueuedBytes());
         this.outlierDetector = new OutlierDetector(averages);
     }
@@ -91,6 +102,10 @@
         if (outlierDetector.usableCount() == 0) {
             return noUpstream();
         }
+        Optional<RefusedException> allClosed = refusalIfAllClosed(nowNanos);
+        if (allClosed.isPresent()) {
+            return allClosed.get();
+        }
         DispatchRequest request = call.request();
         int callsAhead = queue.callsAhead(request.depth());
         long remainingNanos = request.deadlineNanos() - nowNanos;
@@ -163,6 +178,7 @@
             upstreams.forEach(upstream -> states.computeIfAbsent(upstream.id(), id -> createState(upstream, nowNanos)));
             initialized = true;
             upstreamsChanged();
+            closedUpstreams.setUpstreams(upstreams);
             dispatchQueued(completions, nowNanos);
         }
         completions.complete(nowNanos);
@@ -273,7 +289,12 @@
 
     private void dispatchQueued(DeferredCompletions completions, long nowNanos) {
         if (outlierDetector.usableCount() == 0) {
-            refuseAll(completions);
+            refuseAll(completions, noUpstream());
+            return;
+        }
+        Optional<RefusedException> allClosed = queue.size() == 0 ? Optional.empty() : refusalIfAllClosed(nowNanos);
+        if (allClosed.isPresent()) {
+            refuseAll(completions, allClosed.get());
             return;
         }
         QueuedCall call = queue.peek();
@@ -295,13 +316,21 @@
         }
     }
 
-    private void refuseAll(DeferredCompletions completions) {
+    private void refuseAll(DeferredCompletions completions, RefusedException refusal) {
         for (QueuedCall call = queue.peek(); call != null; call = queue.peek()) {
             queue.remove(call);
-            completions.refuse(call, noUpstream());
+            completions.refuse(call, refusal);
         }
     }
 
+    private Optional<RefusedException> refusalIfAllClosed(long nowNanos) {
+        List<UpstreamId> usable = states.values().stream()
+                .filter(UpstreamState::usable)
+                .map(UpstreamState::id)
+                .toList();
+        return closedUpstreams.refusalIfAllClosed(usable, nowNanos);
+    }
+
     private static RefusedException noUpstream() {
         return new RefusedException(RefusalReason.NO_UPSTREAM, "the service has no upstream that accepts calls");
     }
@@ -310,6 +339,9 @@
         DeferredCompletions completions = new DeferredCompletions();
         synchronized (this) {
             UpstreamState state = dispatch.state;
+            result.retryAfter()
+                    .ifPresent(delay ->
+                            closedUpstreams.record(state.id(), state.upstream().instance(), delay, nowNanos));
             if (state.usable()) {
                 recordLoad(state, result, nowNanos);
                 outlierDetector.record(state, result.kind(), dispatch.trial, nowNanos - dispatch.startNanos, nowNanos);
@@ -318,7 +350,7 @@
             inFlight--;
             recordCompletion(result.kind(), nowNanos);
             if (result.leaving()) {
-                setLeaving(state);
+                setLeaving(state.sameProcessIn(states));
             }
             dispatchQueued(completions, nowNanos);
         }
--- a/core/src/main/java/org/sardinepost/core/routing/JointUpstreamSelector.java
+++ b/core/src/main/java/org/sardinepost/core/routing/JointUpstreamSelector.java
@@ -23,6 +23,7 @@
     private static final int NONE = 3;
 
     private final RandomGenerator random;
+    private final ClosedUpstreams closedUpstreams;
     private UpstreamState[] states = {};
 
     private UpstreamState best;
@@ -31,8 +32,9 @@
     private int bestPreference;
     private int existingPreference;
 
-    JointUpstreamSelector(RandomGenerator random) {
+    JointUpstreamSelector(RandomGenerator random, ClosedUpstreams closedUpstreams) {
         this.random = random;
+        this.closedUpstreams = closedUpstreams;
     }
 
     void setStates(UpstreamState[] values) {
@@ -70,7 +72,7 @@
     }
 
     private void consider(UpstreamState state, Set<UpstreamId> excluded, ServiceAverages averages, long nowNanos) {
-        if (!state.usable()) {
+        if (!state.usable() || closedUpstreams.isClosed(state.id(), nowNanos)) {
             return;
         }
         boolean isExcluded = !excluded.isEmpty() && excluded.contains(state.id());
@@ -111,7 +113,11 @@
         int length = Math.min(states.length, FULL_SCAN_LIMIT);
         for (int i = 0; i < length; i++) {
             UpstreamState state = states[(start + i) % states.length];
-            if (state.usable() && !state.full() && state.ejection.trialDue(nowNanos)) {
+            boolean due = state.usable()
+                    && !state.full()
+                    && state.ejection.trialDue(nowNanos)
+                    && !closedUpstreams.isClosed(state.id(), nowNanos);
+            if (due) {
                 return state;
             }
         }
--- a/core/src/main/java/org/sardinepost/core/routing/UpstreamState.java
+++ b/core/src/main/java/org/sardinepost/core/routing/UpstreamState.java
@@ -1,5 +1,7 @@
 package org.sardinepost.core.routing;
 
+import java.util.Map;
+
 /** The state that one dispatcher keeps for one upstream. Guarded by the dispatcher's lock. */
 final class UpstreamState {
     /** About two round trips within a region. */
@@ -12,6 +14,7 @@
     final EjectionState ejection = new EjectionState();
     final HostSlowdown hostSlowdown = new HostSlowdown();
     final IdleConnections idleConnections = new IdleConnections();
+    final FleetClosure fleetClosure = new FleetClosure();
     /** No calls are dispatched until this time because the upstream recently refused one. */
     long backoffUntilNanos = Long.MIN_VALUE / 2;
     /** When the last probe was sent. */
@@ -41,6 +44,15 @@
         return upstream;
     }
 
+    /**
+     * Returns the current state of the process to which a call was sent, which differs from this one if the upstream was
+     * removed and added again; null if another process or none is at its address now.
+     */
+    UpstreamState sameProcessIn(Map<UpstreamId, UpstreamState> states) {
+        UpstreamState current = states.get(id());
+        return current != null && current.upstream.instance().equals(upstream.instance()) ? current : null;
+    }
+
     /** Returns whether the upstream is in this daemon's failure domain. */
     boolean local() {
         return local;
--- a/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
+++ b/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
@@ -1,5 +1,6 @@
 package org.sardinepost.core.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -54,6 +55,26 @@
 
     final List<Long> retryAfterMillis = new ArrayList<>();
 
+    /** Whether daemons heed what upstreams say about leaving and about times without calls. */
+    boolean heedsUpstreams = true;
+
+    /** Calls that reached a leaving upstream more than 100 ms after its first response said so. */
+    int callsToLeaving;
+
+    /** Calls that reached an upstream from a daemon between half a second after it was turned away and the end. */
+    int callsToClosed;
+
+    private static final int DAEMONS = 2;
+    private static final double TURNED_AWAY_FRACTION = 0.4;
+    private static final long HALF_SECOND_NANOS = 500 * MILLIS;
+    private static final long LEAVING_NOTICE_NANOS = 100 * MILLIS;
+    private final List<ClosedUpstreams> closedUpstreams = new ArrayList<>();
+    private final Map<UpstreamId, Long> leavingSince = new HashMap<>();
+    private final Map<UpstreamId, Long> leavingSaidAt = new HashMap<>();
+    private final Map<UpstreamId, Long> closedFrom = new HashMap<>();
+    private final Map<String, Long> turnedAwayAt = new HashMap<>();
+    private long closedUntil;
+
     FleetSimulation(long seed, int upstreamCount, double slowHostFraction, boolean probingEnabled) {
         this.random = new SplittableRandom(seed);
         this.slowdownSeed = random.nextLong();
@@ -67,6 +88,24 @@
         dispatcher.setUpstreams(
                 upstreams.stream().map(id -> new Upstream(id, "a")).toList(), now);
         scheduleAt(TICK_NANOS, this::tick);
+        for (int i = 0; i < DAEMONS; i++) {
+            closedUpstreams.add(new ClosedUpstreams(random.split()));
+        }
+    }
+
+    /** Makes a fraction of the upstreams say in every response from then on that they are leaving. */
+    void leave(double fraction, long fromMillis) {
+        firstUpstreams(fraction).forEach(id -> leavingSince.put(id, fromMillis * MILLIS));
+    }
+
+    /** Makes a fraction of the upstreams turn many calls away and ask for none until the end of the time. */
+    void turnAway(double fraction, long fromMillis, long untilMillis) {
+        firstUpstreams(fraction).forEach(id -> closedFrom.put(id, fromMillis * MILLIS));
+        closedUntil = untilMillis * MILLIS;
+    }
+
+    private List<UpstreamId> firstUpstreams(double fraction) {
+        return upstreams.subList(0, (int) Math.round(fraction * upstreams.size()));
     }
 
     /** Adds calls with exponentially distributed interarrival times. */
@@ -97,6 +136,7 @@
     /** Starts a call. The target of a retried call counts from its first attempt. */
     private void call(long firstArrived, int retriesLeft, long serviceMillis, long targetMillis) {
         long arrived = now;
+        int daemon = random.nextInt(DAEMONS);
         DispatchRequest request = new DispatchRequest(
                 firstArrived + 3 * targetMillis * MILLIS,
                 0,
@@ -104,12 +144,19 @@
                 Set.of(),
                 firstArrived + targetMillis * MILLIS,
                 0,
-                Origin.unknown(),
-                "route");
+                new Origin("daemon-" + daemon, "a"),
+                "route",
+                heedsUpstreams ? closedUpstreams.get(daemon).untilNanos(now) : Map.of());
         CompletableFuture<Dispatch> dispatchFuture = dispatcher.acquire(request, now);
         var unused = dispatchFuture.whenComplete((granted, failure) -> {
             if (granted != null) {
-                if (random.nextDouble() >= refusalFraction) {
+                recordArrival(granted.upstream(), daemon);
+                if (isTurnedAway(granted.upstream())) {
+                    scheduleAt(now + REFUSAL_LATENCY_NANOS, () -> {
+                        granted.complete(turnedAway(granted.upstream(), daemon), now);
+                        call(firstArrived, retriesLeft, serviceMillis, targetMillis);
+                    });
+                } else if (random.nextDouble() >= refusalFraction) {
                     start(granted, firstArrived, serviceMillis, targetMillis);
                 } else {
                     scheduleAt(now + REFUSAL_LATENCY_NANOS, () -> {
@@ -164,10 +211,45 @@
             } else {
                 late++;
             }
-            dispatch.complete(new DispatchResult(DispatchResult.Kind.ANSWERED, Optional.of(load), false), now);
+            boolean leaving = now >= leavingSince.getOrDefault(upstream, Long.MAX_VALUE);
+            if (leaving) {
+                leavingSaidAt.putIfAbsent(upstream, now);
+            }
+            dispatch.complete(
+                    new DispatchResult(DispatchResult.Kind.ANSWERED, Optional.of(load), leaving && heedsUpstreams),
+                    now);
         });
     }
 
+    private boolean isTurnedAway(UpstreamId upstream) {
+        return now >= closedFrom.getOrDefault(upstream, Long.MAX_VALUE)
+                && now < closedUntil
+                && random.nextDouble() < TURNED_AWAY_FRACTION;
+    }
+
+    private DispatchResult turnedAway(UpstreamId upstream, int daemon) {
+        turnedAwayAt.putIfAbsent(daemon + "/" + upstream, now);
+        Duration delay = Duration.ofNanos(Math.max(0, closedUntil - now));
+        if (heedsUpstreams) {
+            closedUpstreams.get(daemon).record(upstream, Optional.empty(), delay, now);
+        }
+        return new DispatchResult(
+                DispatchResult.Kind.REFUSED,
+                Optional.of(load(upstream, 0)),
+                false,
+                heedsUpstreams ? Optional.of(delay) : Optional.empty());
+    }
+
+    private void recordArrival(UpstreamId upstream, int daemon) {
+        if (now - leavingSaidAt.getOrDefault(upstream, now) > LEAVING_NOTICE_NANOS) {
+            callsToLeaving++;
+        }
+        long turnedAway = turnedAwayAt.getOrDefault(daemon + "/" + upstream, now);
+        if (now - turnedAway > HALF_SECOND_NANOS && now < closedUntil) {
+            callsToClosed++;
+        }
+    }
+
     private void probe(UpstreamId upstream) {
         scheduleAt(now + PROBE_ROUND_TRIP_NANOS / 2, () -> {
             ReportedLoad load = load(upstream, 0);
--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -24,9 +24,17 @@
     /** Holds the connections that arrive during startup: several seconds of new connections in a small fleet. */
     static final int ACCEPT_BACKLOG = 1_024;
 
-    /** Accepts ambiguous request targets unchanged: upstreams decide what an encoded slash or a dot segment means. */
-    private static final UriCompliance URI_COMPLIANCE =
-            new UriCompliance("TARGETS", UriCompliance.AMBIGUOUS_VIOLATIONS);
+    /**
+     * Accepts every well-formed request target unchanged: upstreams decide what an encoded slash, a dot segment or an
+     * encoded byte means. Characters that must be encoded are rejected with the rest of the head.
+     */
+    private static final UriCompliance URI_COMPLIANCE = new UriCompliance("TARGETS", UriCompliance.AMBIGUOUS_VIOLATIONS)
+            .with(
+                    "TARGETS",
+                    UriCompliance.Violation.BAD_UTF8_ENCODING,
+                    UriCompliance.Violation.TRUNCATED_UTF8_ENCODING,
+                    UriCompliance.Violation.SUSPICIOUS_PATH_CHARACTERS,
+                    UriCompliance.Violation.ILLEGAL_PATH_CHARACTERS);
 
     private CallerServerFactory() {}
 
--- a/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DaemonMain.java
@@ -56,6 +56,9 @@
             System.err.println("Missing required option: '--settings=FILE'");
             return CommandLine.ExitCode.USAGE;
         }
+        if (!checkOnly) {
+            installSighupHandler();
+        }
         StartupFiles startupFiles = StartupFiles.read(settingsFile);
         if (!startupFiles.findings().isEmpty()) {
             startupFiles.findings().forEach(finding -> System.err.println(finding));
@@ -68,6 +71,15 @@
         return serve(startupFiles);
     }
 
+    /** Installs the handler before anything else, since until then SIGHUP ends the process. */
+    private void installSighupHandler() {
+        try {
+            SighupSettingsCheck.install(settingsFile);
+        } catch (IOException | ReflectiveOperationException e) {
+            LogEvent.SIGHUP_HANDLER_NOT_INSTALLED.warn(e);
+        }
+    }
+
     private int selfTest() throws Exception {
         boolean passed = new SelfTest(daemonFactory).passes();
         System.out.println(passed ? "self-test passed" : "self-test failed: a call was not answered");
@@ -87,11 +99,6 @@
             return CommandLine.ExitCode.SOFTWARE;
         }
         GracefulShutdownHook.install(daemon);
-        try {
-            SighupSettingsCheck.install(settingsFile);
-        } catch (IOException | ReflectiveOperationException e) {
-            LogEvent.SIGHUP_HANDLER_NOT_INSTALLED.warn(e);
-        }
         Thread.currentThread().join();
         return CommandLine.ExitCode.OK;
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/DispatcherFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DispatcherFactory.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon;
 
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
@@ -8,6 +9,7 @@
 import java.util.function.Supplier;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.sardinepost.core.routing.CentralDispatcher;
+import org.sardinepost.core.routing.ClosedUpstreams;
 import org.sardinepost.core.routing.Dispatcher;
 import org.sardinepost.core.routing.DispatcherSettings;
 import org.sardinepost.core.routing.JointLoadDispatcher;
@@ -62,16 +64,19 @@
         // Queued requests count towards the held bytes, so a service may use at most a quarter of them for its queue.
         DispatcherSettings dispatcherSettings =
                 new DispatcherSettings(service.slots(), settings.failureDomain(), settings.heldBytes() / 4);
-        JointLoadDispatcher localDispatcher = new JointLoadDispatcher(dispatcherSettings, newRandom());
+        ClosedUpstreams closedUpstreams = new ClosedUpstreams(newRandom());
+        JointLoadDispatcher localDispatcher = new JointLoadDispatcher(dispatcherSettings, newRandom(), closedUpstreams);
         if (settings.placement() == PlacementMode.OWN) {
             return localDispatcher;
         }
         TimedCentralDispatcher centralDispatcher = new TimedCentralDispatcher(
-                createCentralDispatcher(service, dispatcherSettings), scheduler, System::nanoTime);
-        return new SharedDispatcher(service.name(), placement.get(), centralDispatcher, localDispatcher);
+                createCentralDispatcher(service, dispatcherSettings, closedUpstreams), scheduler, System::nanoTime);
+        return new SharedDispatcher(
+                service.name(), placement.get(), centralDispatcher, localDispatcher, closedUpstreams, System::nanoTime);
     }
 
-    private CentralDispatcher createCentralDispatcher(Service service, DispatcherSettings dispatcherSettings) {
+    private CentralDispatcher createCentralDispatcher(
+            Service service, DispatcherSettings dispatcherSettings, ClosedUpstreams closedUpstreams) {
         AtomicReference<CentralDispatcher> dispatcher = new AtomicReference<>();
         UpstreamProber.Listener listener = new UpstreamProber.Listener() {
             @Override
@@ -83,9 +88,18 @@
             public void leavingReported(Upstream upstream) {
                 observer.get().leaving(upstream.id(), upstream.instance());
             }
+
+            @Override
+            public void retryAfterReported(Upstream upstream, Duration delay) {
+                closedUpstreams.record(upstream.id(), upstream.instance(), delay, System.nanoTime());
+            }
         };
-        Optional<LoadProbe> probe =
-                service.healthPath().map(path -> upstream -> prober.probe(upstream, path, listener));
+        Optional<LoadProbe> probe = service.healthPath().map(path -> upstream -> {
+            // A probe is a request too; the upstream then counts as one that did not answer.
+            if (!closedUpstreams.isClosed(upstream.id(), System.nanoTime())) {
+                prober.probe(upstream, path, listener);
+            }
+        });
         dispatcher.set(new CentralDispatcher(dispatcherSettings, newRandom(), probe));
         return dispatcher.get();
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/RequestHead.java
@@ -16,6 +16,11 @@
 
 /** Reads the head of a request and rejects heads that an upstream might interpret differently. */
 final class RequestHead {
+    /** The characters besides letters and digits that a path may contain according to RFC 3986. */
+    private static final String PATH_PUNCTUATION = "/%-._~!$&'()*+,;=:@";
+
+    private static final int DELETE = 127;
+
     private final String method;
     private final HttpURI uri;
     private final HttpVersion version;
@@ -51,6 +56,7 @@
     boolean permitsPipelining() {
         return version == HttpVersion.HTTP_1_1
                 && !target().startsWith("//")
+                && hasOnlyTargetCharacters()
                 && unambiguousPath().isPresent()
                 && !hasBodyFraming()
                 && !headers.contains(HttpHeader.UPGRADE)
@@ -74,6 +80,9 @@
         if (!target().startsWith("/") && !target().equals("*")) {
             throw malformed("the request target is not a path");
         }
+        if (!hasOnlyTargetCharacters()) {
+            throw malformed("the request target has a character that must be percent-encoded");
+        }
         if (headers.getFields(HttpHeader.TRANSFER_ENCODING).size() > 0) {
             validateTransferEncoding();
         }
@@ -82,6 +91,19 @@
         }
     }
 
+    /** Jetty accepts encoded control characters only together with those that RFC 3986 does not allow unencoded. */
+    private boolean hasOnlyTargetCharacters() {
+        boolean pathIsValid = path().chars().allMatch(RequestHead::isPathCharacter);
+        return pathIsValid && target().chars().allMatch(character -> character > ' ' && character < DELETE);
+    }
+
+    private static boolean isPathCharacter(int character) {
+        boolean isLetterOrDigit = (character >= 'a' && character <= 'z')
+                || (character >= 'A' && character <= 'Z')
+                || (character >= '0' && character <= '9');
+        return isLetterOrDigit || PATH_PUNCTUATION.indexOf(character) >= 0;
+    }
+
     private void validateTransferEncoding() {
         List<String> encodings = headers.getValuesList(HttpHeader.TRANSFER_ENCODING);
         boolean chunkedOnly = encodings.size() == 1 && "chunked".equalsIgnoreCase(encodings.get(0));
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseClassifier.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseClassifier.java
@@ -1,7 +1,10 @@
 package org.sardinepost.daemon.call;
 
+import java.time.Duration;
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.sardinepost.core.call.RetryAfter;
 import org.sardinepost.core.routing.DispatchResult;
 import org.sardinepost.core.routing.ReportedLoad;
 
@@ -35,7 +38,17 @@
         Optional<ReportedLoad> load =
                 Optional.ofNullable(response.headers().get(CallHeaders.LOAD)).flatMap(ReportedLoad::parse);
         boolean leaving = "1".equals(response.headers().get(CallHeaders.DRAINING));
-        return new DispatchResult(resultKind(response), load, leaving);
+        return new DispatchResult(resultKind(response), load, leaving, retryAfter(response));
+    }
+
+    /** Returns the time for which an upstream that turned a request away wants no more of them from this daemon. */
+    private static Optional<Duration> retryAfter(BufferedResponse response) {
+        String value = response.headers().get(HttpHeader.RETRY_AFTER);
+        boolean turnedAway = response.status() == HttpStatus.SERVICE_UNAVAILABLE_503 && !relaysDaemonResponse(response);
+        if (!turnedAway || value == null) {
+            return Optional.empty();
+        }
+        return RetryAfter.parse(value, Optional.ofNullable(response.headers().get(HttpHeader.DATE)));
     }
 
     private static DispatchResult.Kind resultKind(BufferedResponse response) {
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
@@ -47,8 +47,7 @@
             UpstreamProtocol upstreamProtocol,
             long responseLimitBytes,
             HeldBytesReservation reservation) {
-        Request exchange = client.newRequest(upstream.host(), upstream.port())
-                .method(request.method())
+        Request exchange = new UpstreamRequest(client, upstream, request.method())
                 .path(request.target())
                 .idleTimeout(0, TimeUnit.MILLISECONDS)
                 .headers(fields -> fields.add(request.headers()));
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementMessageCodec.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementMessageCodec.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +18,7 @@
 import org.sardinepost.core.routing.Origin;
 import org.sardinepost.core.routing.ReportedLoad;
 import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.peer.generated.ClosedUpstream;
 import org.sardinepost.peer.generated.PeerMessage;
 import org.sardinepost.peer.generated.PlaceAnswer;
 import org.sardinepost.peer.generated.PlaceEnd;
@@ -45,10 +48,30 @@
                                 .map(UpstreamId::toString)
                                 .toList())
                         .setFailureDomain(request.origin().failureDomain())
-                        .setKind(request.kind()))
+                        .setKind(request.kind())
+                        .addAllClosed(encodeClosed(request, nowNanos)))
                 .build();
     }
 
+    private static List<ClosedUpstream> encodeClosed(DispatchRequest request, long nowNanos) {
+        return request.closedUntilNanos().entrySet().stream()
+                .map(entry -> ClosedUpstream.newBuilder()
+                        .setAddress(entry.getKey().toString())
+                        .setLeftMs(Math.max(0, TimeUnit.NANOSECONDS.toMillis(entry.getValue() - nowNanos)))
+                        .build())
+                .toList();
+    }
+
+    private static Map<UpstreamId, Long> decodeClosed(PlaceRequest message, long nowNanos) {
+        Map<UpstreamId, Long> untilNanos = new HashMap<>();
+        for (ClosedUpstream closed : message.getClosedList()) {
+            UpstreamId.parse(closed.getAddress())
+                    .ifPresent(upstream ->
+                            untilNanos.put(upstream, nowNanos + TimeUnit.MILLISECONDS.toNanos(closed.getLeftMs())));
+        }
+        return untilNanos;
+    }
+
     static DispatchRequest decodeRequest(UpstreamId sender, PlaceRequest message, long nowNanos) {
         Set<UpstreamId> excluded = message.getExcludedList().stream()
                 .flatMap(address -> UpstreamId.parse(address).stream())
@@ -61,7 +84,8 @@
                 nowNanos + nanos(message.getTargetLeftMs()),
                 message.getPriority(),
                 new Origin(sender.toString(), message.getFailureDomain()),
-                message.getKind());
+                message.getKind(),
+                decodeClosed(message, nowNanos));
     }
 
     static PeerMessage encodeGrant(long call, Dispatch dispatch) {
@@ -100,6 +124,7 @@
                 .setInFlight(load.inFlight())
                 .setSlots(load.slots())
                 .setPacePercent(load.slowdownPercent()));
+        result.retryAfter().ifPresent(delay -> end.setRetryAfterMs(Math.max(1, delay.toMillis())));
         return PeerMessage.newBuilder().setPlaceEnd(end).build();
     }
 
@@ -107,7 +132,9 @@
         Optional<ReportedLoad> load = end.getLoadKnown()
                 ? Optional.of(new ReportedLoad(end.getInFlight(), end.getSlots(), end.getPacePercent()))
                 : Optional.empty();
-        return new DispatchResult(fromWire(end.getResult()), load, end.getLeaving());
+        Optional<Duration> retryAfter =
+                Optional.of(Duration.ofMillis(end.getRetryAfterMs())).filter(delay -> !delay.isZero());
+        return new DispatchResult(fromWire(end.getResult()), load, end.getLeaving(), retryAfter);
     }
 
     private static PeerMessage toMessage(PlaceAnswer.Builder answer) {
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/SharedDispatcher.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/SharedDispatcher.java
@@ -6,10 +6,12 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.measuring.ProbeCandidate;
+import org.sardinepost.core.routing.ClosedUpstreams;
 import org.sardinepost.core.routing.Dispatch;
 import org.sardinepost.core.routing.DispatchRequest;
 import org.sardinepost.core.routing.DispatchResult;
@@ -24,13 +26,15 @@
  * unavailable.
  *
  * <p>This daemon does not rely on the coordinator's view of the upstreams: it releases a dispatch to an upstream that
- * it knows to be leaving, and dispatches the call locally.
+ * it knows to be leaving or closed, and dispatches the call locally.
  */
 public final class SharedDispatcher implements JointDispatcher {
     private final String service;
     private final Placement placement;
     private final TimedCentralDispatcher centralDispatcher;
     private final JointDispatcher local;
+    private final ClosedUpstreams closedUpstreams;
+    private final LongSupplier nanoClock;
     private volatile Set<UpstreamId> usable = Set.of();
 
     /**
@@ -38,13 +42,21 @@
      *
      * @param centralDispatcher dispatches the calls of all daemons while this daemon is the coordinator
      * @param local dispatches the calls of this daemon from local information
+     * @param closedUpstreams the upstreams that get no calls of this daemon, shared with the local dispatcher
      */
     public SharedDispatcher(
-            String service, Placement placement, TimedCentralDispatcher centralDispatcher, JointDispatcher local) {
+            String service,
+            Placement placement,
+            TimedCentralDispatcher centralDispatcher,
+            JointDispatcher local,
+            ClosedUpstreams closedUpstreams,
+            LongSupplier nanoClock) {
         this.service = service;
         this.placement = placement;
         this.centralDispatcher = centralDispatcher;
         this.local = local;
+        this.closedUpstreams = closedUpstreams;
+        this.nanoClock = nanoClock;
     }
 
     /** Returns the dispatcher for the calls of all daemons, used while this daemon is the coordinator. */
@@ -54,15 +66,18 @@
 
     @Override
     public CompletableFuture<Dispatch> acquire(DispatchRequest request, long nowNanos) {
-        Optional<UpstreamId> coordinator = placement.coordinator(service, nowNanos);
-        if (coordinator.isEmpty()) {
-            return centralDispatcher.acquire(request);
+        Optional<RefusedException> allClosed = closedUpstreams.refusalIfAllClosed(usable, nowNanos);
+        if (allClosed.isPresent()) {
+            return CompletableFuture.failedFuture(allClosed.get());
         }
-        CompletableFuture<Dispatch> requested =
-                placement.requestDispatch(coordinator.get(), service, request, nowNanos);
+        DispatchRequest restricted = request.withClosed(closedUpstreams.untilNanos(nowNanos));
+        CompletableFuture<Dispatch> requested = placement
+                .coordinator(service, nowNanos)
+                .map(coordinator -> placement.requestDispatch(coordinator, service, restricted, nowNanos))
+                .orElseGet(() -> centralDispatcher.acquire(restricted));
         CompletableFuture<Dispatch> result = new CompletableFuture<>();
         var unused = requested.whenComplete(
-                (dispatch, failure) -> handleResponse(result, dispatch, failure, request, nowNanos));
+                (dispatch, failure) -> handleResponse(result, dispatch, failure, restricted, nanoClock.getAsLong()));
         var unusedToo = result.whenComplete((dispatch, failure) -> requested.cancel(false));
         return result;
     }
@@ -73,8 +88,8 @@
             Throwable failure,
             DispatchRequest request,
             long nowNanos) {
-        if (dispatch != null && usable.contains(dispatch.upstream())) {
-            if (!result.complete(dispatch)) {
+        if (dispatch != null && mayReceiveCalls(dispatch.upstream(), nowNanos)) {
+            if (!result.complete(new RecordingDispatch(dispatch))) {
                 dispatch.complete(DispatchResult.of(DispatchResult.Kind.CANCELLED), nowNanos);
             }
             return;
@@ -90,6 +105,10 @@
         }
     }
 
+    private boolean mayReceiveCalls(UpstreamId upstream, long nowNanos) {
+        return usable.contains(upstream) && !closedUpstreams.isClosed(upstream, nowNanos);
+    }
+
     /**
      * Returns whether the coordinator knows no upstreams although this daemon does, as after a restart of the
      * coordinator.
@@ -129,6 +148,7 @@
     @Override
     public void setUpstreams(List<Upstream> upstreams, long nowNanos) {
         usable = upstreams.stream().map(Upstream::id).collect(Collectors.toUnmodifiableSet());
+        closedUpstreams.setUpstreams(upstreams);
         centralDispatcher.dispatcher().setUpstreams(upstreams, nowNanos);
         local.setUpstreams(upstreams, nowNanos);
     }
@@ -174,4 +194,29 @@
     public List<ProbeCandidate> probeCandidates(long nowNanos) {
         return local.probeCandidates(nowNanos);
     }
+
+    /** A dispatch of the coordinator, whose result also tells this daemon for how long the upstream wants no calls. */
+    private final class RecordingDispatch implements Dispatch {
+        private final Dispatch dispatch;
+
+        RecordingDispatch(Dispatch dispatch) {
+            this.dispatch = dispatch;
+        }
+
+        @Override
+        public UpstreamId upstream() {
+            return dispatch.upstream();
+        }
+
+        @Override
+        public Optional<String> instance() {
+            return dispatch.instance();
+        }
+
+        @Override
+        public void complete(DispatchResult result, long nowNanos) {
+            result.retryAfter().ifPresent(delay -> closedUpstreams.record(upstream(), instance(), delay, nowNanos));
+            dispatch.complete(result, nowNanos);
+        }
+    }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/token/TokenGuard.java
@@ -38,6 +38,9 @@
 
     @Override
     public CompletableFuture<BufferedResponse> handle(Call call, CallDispatch dispatch) {
+        if (call.destination().service().tokens() == TokenMode.NONE) {
+            return dispatch.sendToUpstream();
+        }
         try {
             return withNewToken(call, send(call, dispatch));
         } catch (RefusedException refused) {
--- a/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ForwardingTest.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import org.eclipse.jetty.io.Content;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sardinepost.core.routing.Upstream;
 import org.sardinepost.core.text.Service;
 import org.sardinepost.core.text.TokenMode;
 
@@ -30,6 +33,47 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /caf%E9",
+                "GET /a%09b%0Ac",
+                "GET /a%5Cb",
+                "GET /a%C3",
+                "GET /a;b=c/..%2F?x=%E9&y=%00&z=a|b",
+                "get /lower",
+                "Purge /mixed",
+            })
+    void forwardsMethodAndTargetUnchanged(String requestLine) throws Exception {
+        try (ScriptedUpstream upstream = ScriptedUpstream.keepingAlive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                Daemon daemon = TestDaemon.start(TestDaemon.settings(), catalogueService(upstream.upstream()))) {
+            String callerResponse = RawHttpClient.exchange(
+                    daemon.callerPort(), RawHttpClient.request(requestLine + " HTTP/1.1", "Host: catalogue"));
+
+            assertThat(callerResponse).startsWith("HTTP/1.1 200 OK\r\n");
+            assertThat(upstream.requestHeads().get(0)).startsWith(requestLine + " HTTP/1.1\r\n");
+        }
+    }
+
+    @Test
+    void forwardsATokenOfAnotherProtocolToServicesWithoutTokens() throws Exception {
+        try (ScriptedUpstream upstream = ScriptedUpstream.keepingAlive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                Daemon daemon = TestDaemon.start(
+                        TestDaemon.settings(),
+                        Service.builder("catalogue")
+                                .external(true)
+                                .tokens(TokenMode.NONE)
+                                .upstreams(List.of(upstream.upstream()))
+                                .build())) {
+            String callerResponse = RawHttpClient.exchange(
+                    daemon.callerPort(),
+                    RawHttpClient.request("POST / HTTP/1.1", "Host: catalogue", "Idempotency-Token: their own"));
+
+            assertThat(callerResponse).startsWith("HTTP/1.1 200 OK\r\n");
+            assertThat(upstream.requestHeads().get(0)).contains("\r\nIdempotency-Token: their own\r\n");
+        }
+    }
+
     @Test
     void joinsChunksOfBody() throws Exception {
         try (TestUpstream upstream = new TestUpstream(
@@ -62,10 +106,14 @@
     }
 
     private static Service catalogueService(TestUpstream upstream) {
+        return catalogueService(upstream.upstream());
+    }
+
+    private static Service catalogueService(Upstream upstream) {
         return Service.builder("catalogue")
                 .external(true)
                 .tokens(TokenMode.OPTIONAL)
-                .upstreams(List.of(upstream.upstream()))
+                .upstreams(List.of(upstream))
                 .build();
     }
 }
--- a/daemon/src/test/java/org/sardinepost/daemon/LeavingUpstreamTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/LeavingUpstreamTest.java
@@ -13,11 +13,13 @@
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.core.settings.DaemonSettings;
+import org.sardinepost.core.settings.PlacementMode;
 import org.sardinepost.core.settings.Source;
 
 /** Verifies that a daemon stops calling a leaving upstream even if the upstream signalled this only to another daemon. */
@@ -27,8 +29,10 @@
 
     private final HttpClient httpClient = HttpClient.newHttpClient();
 
-    @Test
-    void drainingResponseToOneDaemonStopsCallsOfBoth(@TempDir Path directory) throws Exception {
+    @ParameterizedTest
+    @EnumSource(PlacementMode.class)
+    void drainingResponseToOneDaemonStopsCallsOfBoth(PlacementMode placement, @TempDir Path directory)
+            throws Exception {
         try (TestUpstream leaving = new TestUpstream((request, body, response, callback) -> {
                     response.getHeaders().put("Sardinepost-Draining", "1");
                     respondOk(response, callback);
@@ -36,8 +40,9 @@
                 TestUpstream remaining =
                         new TestUpstream((request, body, response, callback) -> respondOk(response, callback))) {
             Source servicesText = Source.file(writeServicesText(directory, leaving, remaining));
-            try (Daemon first = start(TestDaemon.settings().configuration(servicesText));
+            try (Daemon first = start(TestDaemon.settings().placement(placement).configuration(servicesText));
                     Daemon second = start(TestDaemon.settings()
+                            .placement(placement)
                             .configuration(servicesText)
                             .peers(List.of(first.controlPlane().peerAddress())))) {
                 await(() -> second.controlPlane().status().connectedPeers().size() == 1);
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.sardinepost.core.membership.RendezvousHash;
 import org.sardinepost.core.routing.CentralDispatcher;
+import org.sardinepost.core.routing.ClosedUpstreams;
 import org.sardinepost.core.routing.Dispatch;
 import org.sardinepost.core.routing.DispatchRequest;
 import org.sardinepost.core.routing.DispatchResult;
@@ -194,11 +195,14 @@
             DispatcherSettings settings = DispatcherSettings.of(1, "a");
             CentralDispatcher centralDispatcher =
                     new CentralDispatcher(settings, new SplittableRandom(1), Optional.empty());
+            ClosedUpstreams closedUpstreams = new ClosedUpstreams(new SplittableRandom(3));
             dispatcher = new SharedDispatcher(
                     SERVICE,
                     placement,
                     new TimedCentralDispatcher(centralDispatcher, scheduler, System::nanoTime),
-                    new JointLoadDispatcher(settings, new SplittableRandom(2)));
+                    new JointLoadDispatcher(settings, new SplittableRandom(2), closedUpstreams),
+                    closedUpstreams,
+                    System::nanoTime);
         }
 
         private Optional<TimedCentralDispatcher> centralDispatcher(String service) {
