Let large responses wait for memory instead of exhausting the heap

Change: the limit is at most 0.4 of the heap. A response that does not fit waits, in order, for others to be released, and its connection is not read from meanwhile. Responses up to 64 KiB have bytes of their own; a response of unknown length that outgrows them gets all that it can need at once, so that no two wait for each other. Bodies are written in slices of 64 KiB.

--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -72,7 +72,8 @@
 
     public Daemon(DaemonSettings settings, DaemonExtensions extensions) {
         this.hasConfigurationSource = settings.configuration().kind() != Source.Kind.NONE;
-        this.heldBytes = new HeldBytes(settings.heldBytes());
+        this.heldBytes =
+                HeldBytes.withinHeap(settings.heldBytes(), Runtime.getRuntime().maxMemory());
         this.httpClient = UpstreamHttpClientFactory.create(settings.headerLimitBytes());
         this.serviceRegistry = new ServiceRegistry(dispatcherFactory(settings, extensions), System::nanoTime);
         this.tokens = DaemonTokens.create(settings, System::nanoTime);
@@ -137,6 +138,10 @@
 
     private void registerMetricsAndStatus(DaemonSettings settings) {
         metrics.registerGauge("sardinepost_held_bytes", "Bytes of requests and answers held.", heldBytes::usedBytes);
+        metrics.registerGauge(
+                "sardinepost_waiting_answers",
+                "Answers that wait for held bytes before they are read on.",
+                heldBytes::waitingResponses);
         metrics.registerGauge("sardinepost_calls_in_progress", "Calls in progress.", callsInProgress::count);
         metrics.registerGauge(
                 "sardinepost_tokens",
--- a/daemon/src/main/java/org/sardinepost/daemon/call/HeldBytesReservation.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/HeldBytesReservation.java
@@ -1,5 +1,7 @@
 package org.sardinepost.daemon.call;
 
+import java.util.concurrent.CompletableFuture;
+
 /**
  * The reserved bytes of one call, for its request and its response.
  *
@@ -9,6 +11,7 @@
 final class HeldBytesReservation {
     private final HeldBytes heldBytes;
     private long reservedBytes;
+    private long smallResponseBytes;
     private int references = 1;
 
     HeldBytesReservation(HeldBytes heldBytes) {
@@ -16,37 +19,96 @@
     }
 
     synchronized boolean tryReserveForRequest(long addedBytes) {
-        return addIfGranted(addedBytes, references > 0 && heldBytes.tryReserveForRequest(addedBytes));
+        boolean granted = references > 0 && heldBytes.tryReserveForRequest(addedBytes);
+        if (granted) {
+            reservedBytes += addedBytes;
+        }
+        return granted;
     }
 
-    synchronized boolean tryReserveForResponse(long addedBytes) {
-        return addIfGranted(addedBytes, references > 0 && heldBytes.tryReserveForResponse(addedBytes));
+    /**
+     * Reserves bytes for a response, which may have to wait for other calls to release theirs.
+     *
+     * @return the future of the reservation; false if the bytes exceed the limit or the call has ended
+     */
+    CompletableFuture<Boolean> reserveForResponse(long addedBytes) {
+        return heldBytes
+                .reserveForResponse(addedBytes, this::released)
+                .thenApply(granted -> granted && add(addedBytes));
     }
 
-    private boolean addIfGranted(long addedBytes, boolean granted) {
-        if (granted) {
-            reservedBytes += addedBytes;
+    /** Returns the most that a response of unknown length may need. */
+    long growingResponseLimitBytes() {
+        return heldBytes.growingResponseLimitBytes();
+    }
+
+    /** Reserves bytes for a small response, without waiting; returns false if there are not enough. */
+    boolean tryReserveForSmallResponse(long addedBytes) {
+        if (!heldBytes.tryReserveForSmallResponse(addedBytes)) {
+            return false;
         }
-        return granted;
+        synchronized (this) {
+            if (references > 0) {
+                smallResponseBytes += addedBytes;
+                return true;
+            }
+        }
+        heldBytes.releaseSmallResponse(addedBytes);
+        return false;
+    }
+
+    /** Releases the bytes that were reserved for a small response. */
+    void releaseSmallResponse() {
+        long released;
+        synchronized (this) {
+            released = smallResponseBytes;
+            smallResponseBytes = 0;
+        }
+        heldBytes.releaseSmallResponse(released);
+    }
+
+    private synchronized boolean released() {
+        return references == 0;
+    }
+
+    private boolean add(long addedBytes) {
+        synchronized (this) {
+            if (references > 0) {
+                reservedBytes += addedBytes;
+                return true;
+            }
+        }
+        heldBytes.release(addedBytes);
+        return false;
     }
 
     /** Releases the bytes of a response that is discarded. */
-    synchronized void releasePart(long discardedBytes) {
-        if (references > 0) {
+    void releasePart(long discardedBytes) {
+        synchronized (this) {
+            if (references == 0) {
+                return;
+            }
             reservedBytes -= discardedBytes;
-            heldBytes.release(discardedBytes);
         }
+        heldBytes.release(discardedBytes);
     }
 
     synchronized void retain() {
         references++;
     }
 
-    synchronized void release() {
-        references--;
-        if (references == 0) {
-            heldBytes.release(reservedBytes);
+    void release() {
+        long released;
+        synchronized (this) {
+            references--;
+            if (references > 0) {
+                return;
+            }
+            released = reservedBytes;
             reservedBytes = 0;
         }
+        releaseSmallResponse();
+        // Outside the lock, since this may complete the reservations of other calls.
+        heldBytes.release(released);
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
 
 /** Buffers one response until it is complete. */
 final class ResponseCollector implements Response.Listener {
@@ -33,6 +34,10 @@
     private BufferedResponse head;
 
     private boolean truncated;
+    private boolean discarded;
+    private boolean lengthKnown;
+    private boolean reservedSmall;
+    private CompletableFuture<Void> bodyReserved = CompletableFuture.completedFuture(null);
     private BodyBuffer body = new BodyBuffer(0);
     private long reservedBytes;
 
@@ -96,35 +101,115 @@
             return;
         }
         long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
-        if (hasBody(response) && length > 0 && reserveUpTo(length)) {
-            body = new BodyBuffer((int) length);
+        lengthKnown = length > 0;
+        if (hasBody(response) && length != 0) {
+            bodyReserved = reserveFor(Math.max(0, length)).thenAccept(reserved -> {
+                if (reserved && lengthKnown) {
+                    body = new BodyBuffer((int) length);
+                }
+            });
         }
     }
 
+    /**
+     * Buffers a part of the body once the bytes for it are reserved. Until then the connection is not read from, so that
+     * the upstream waits as well.
+     */
+    @Override
+    public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
+        chunk.retain();
+        var unused = bodyReserved
+                .thenCompose(done -> reserveFor(body.size() + (long) chunk.remaining()))
+                .whenComplete((reserved, failure) -> {
+                    if (failure == null && reserved) {
+                        body.append(chunk.getByteBuffer());
+                    }
+                    chunk.release();
+                    demander.run();
+                });
+    }
+
     @Override
     public void onContent(Response response, ByteBuffer content) {
-        if (reserveUpTo(body.size() + (long) content.remaining())) {
-            body.append(content);
-        }
+        throw new UnsupportedOperationException("the content is received in chunks");
     }
 
-    private boolean reserveUpTo(long size) {
+    /**
+     * Reserves the bytes that a body needs to reach this size; the future is false if it must not.
+     *
+     * <p>A body of unknown length that is no longer small gets all that it can need at once, twice its limit since a buffer
+     * that grows exists twice while it is copied. If many bodies grew in steps, each could wait for what the others hold.
+     */
+    private CompletableFuture<Boolean> reserveFor(long bodyBytes) {
         if (responseFuture.isDone()) {
-            return false;
+            return CompletableFuture.completedFuture(false);
         }
-        if (size > limitBytes) {
+        if (bodyBytes > limitBytes) {
             fail(SendException.Kind.ANSWER_TOO_LARGE, "the response exceeds " + limitBytes + " bytes");
-            return false;
+            return CompletableFuture.completedFuture(false);
+        }
+        if (bodyBytes <= HeldBytes.SMALL_RESPONSE_BYTES && reserveSmall()) {
+            return CompletableFuture.completedFuture(true);
         }
-        long additionalBytes = size - reservedBytes;
-        if (additionalBytes > 0 && !reservation.tryReserveForResponse(additionalBytes)) {
-            fail(
-                    SendException.Kind.ANSWER_NOT_HELD,
-                    "cannot buffer " + size + " bytes of a response: the limit of held bytes is reached");
+        long neededBytes = lengthKnown ? bodyBytes : Math.min(2 * limitBytes, reservation.growingResponseLimitBytes());
+        boolean tooLarge = !lengthKnown && 2 * bodyBytes > neededBytes;
+        if (!tooLarge && neededBytes <= reservedBytes) {
+            return CompletableFuture.completedFuture(true);
+        }
+        CompletableFuture<Boolean> reservedFuture = tooLarge
+                ? CompletableFuture.completedFuture(false)
+                : reservation.reserveForResponse(neededBytes - reservedBytes);
+        return reservedFuture.thenApply(reserved -> {
+            if (reserved) {
+                releaseSmall();
+                return keepReserved(neededBytes - reservedBytes);
+            }
+            if (!responseFuture.isDone()) {
+                fail(
+                        SendException.Kind.ANSWER_NOT_HELD,
+                        "cannot buffer " + bodyBytes + " bytes of a response: the limit of held bytes is lower");
+            }
             return false;
+        });
+    }
+
+    private boolean reserveSmall() {
+        if (reservedBytes > 0) {
+            return true;
+        }
+        reservedSmall = reservedSmall || reservation.tryReserveForSmallResponse(HeldBytes.SMALL_RESPONSE_BYTES);
+        return reservedSmall;
+    }
+
+    private void releaseSmall() {
+        if (reservedSmall) {
+            reservedSmall = false;
+            reservation.releaseSmallResponse();
+        }
+    }
+
+    /** Adds reserved bytes to those of this response, or releases them if the response was discarded meanwhile. */
+    private boolean keepReserved(long bytes) {
+        synchronized (this) {
+            if (!discarded) {
+                reservedBytes += bytes;
+                return true;
+            }
+        }
+        reservation.releasePart(bytes);
+        return false;
+    }
+
+    private void discard() {
+        long releasedBytes;
+        synchronized (this) {
+            discarded = true;
+            releasedBytes = reservedBytes;
+            reservedBytes = 0;
         }
-        reservedBytes = Math.max(size, reservedBytes);
-        return true;
+        body = new BodyBuffer(0);
+        releaseSmall();
+        reservation.releasePart(releasedBytes);
     }
 
     private void fail(SendException.Kind kind, String message) {
@@ -179,9 +264,7 @@
     public void onComplete(Result result) {
         completed = true;
         if (!complete(result)) {
-            body = new BodyBuffer(0);
-            reservation.releasePart(reservedBytes);
-            reservedBytes = 0;
+            discard();
         }
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
@@ -58,7 +58,7 @@
         }
         if (request.hasBody()) {
             String contentType = request.headers().get("Content-Type");
-            exchange.body(new ByteBufferRequestContent(contentType, request.body()));
+            exchange.body(new ByteBufferRequestContent(contentType, BodySlices.of(request.body())));
         }
         ResponseCollector collector =
                 new ResponseCollector(exchange, request, upstreamProtocol, responseLimitBytes, reservation);
--- a/daemon/src/test/java/org/sardinepost/daemon/call/HeldBytesTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/call/HeldBytesTest.java
@@ -2,21 +2,23 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 /** Guards against exceeding the memory limit, and against counting bytes as held that were already released. */
 final class HeldBytesTest {
-    private final HeldBytes heldBytes = new HeldBytes(100);
+    private static final long KIB = 1 << 10;
+
+    private final HeldBytes heldBytes = new HeldBytes(100 * KIB);
 
     @Test
     void requestsLeaveOneQuarterForResponses() {
         HeldBytesReservation reservation = heldBytes.openReservation();
 
-        assertThat(reservation.tryReserveForRequest(75)).isTrue();
+        assertThat(reservation.tryReserveForRequest(75 * KIB)).isTrue();
         assertThat(reservation.tryReserveForRequest(1)).isFalse();
-        assertThat(reservation.tryReserveForResponse(25)).isTrue();
-        assertThat(reservation.tryReserveForResponse(1)).isFalse();
-        assertThat(heldBytes.usedBytes()).isEqualTo(100);
+        assertThat(reservation.reserveForResponse(25 * KIB).join()).isTrue();
+        assertThat(heldBytes.usedBytes()).isEqualTo(100 * KIB);
     }
 
     @Test
@@ -24,7 +26,7 @@
         HeldBytesReservation reservation = heldBytes.openReservation();
         reservation.tryReserveForRequest(10);
         reservation.retain();
-        reservation.tryReserveForResponse(20);
+        reservation.reserveForResponse(20).join();
         reservation.release();
         assertThat(heldBytes.usedBytes()).isEqualTo(30);
 
@@ -37,8 +39,75 @@
         HeldBytesReservation reservation = heldBytes.openReservation();
         reservation.release();
 
-        assertThat(reservation.tryReserveForResponse(1)).isFalse();
+        assertThat(reservation.reserveForResponse(1).join()).isFalse();
         reservation.releasePart(5);
         assertThat(heldBytes.usedBytes()).isEqualTo(0);
     }
+
+    @Test
+    void largeResponseWaitsUntilOthersAreReleased() {
+        HeldBytesReservation first = heldBytes.openReservation();
+        HeldBytesReservation second = heldBytes.openReservation();
+        first.reserveForResponse(80 * KIB).join();
+        CompletableFuture<Boolean> waiting = second.reserveForResponse(90 * KIB);
+        assertThat(waiting.isDone()).isFalse();
+        assertThat(heldBytes.waitingResponses()).isEqualTo(1);
+        first.release();
+
+        assertThat(waiting.join()).isTrue();
+        assertThat(heldBytes.usedBytes()).isEqualTo(90 * KIB);
+    }
+
+    @Test
+    void waitingResponsesAreServedInTheirOrder() {
+        HeldBytesReservation first = heldBytes.openReservation();
+        first.reserveForResponse(80 * KIB).join();
+        CompletableFuture<Boolean> second = heldBytes.openReservation().reserveForResponse(90 * KIB);
+        CompletableFuture<Boolean> third = heldBytes.openReservation().reserveForResponse(70 * KIB);
+        first.release();
+
+        assertThat(second.isDone()).isTrue();
+        assertThat(third.isDone()).isFalse();
+    }
+
+    @Test
+    void smallResponseDoesNotWaitBehindLargeOnes() {
+        heldBytes.openReservation().reserveForResponse(95 * KIB).join();
+        CompletableFuture<Boolean> large = heldBytes.openReservation().reserveForResponse(90 * KIB);
+
+        HeldBytesReservation small = heldBytes.openReservation();
+        assertThat(small.tryReserveForSmallResponse(12 * KIB)).isTrue();
+        assertThat(small.tryReserveForSmallResponse(12 * KIB)).isFalse();
+        assertThat(large.isDone()).isFalse();
+        small.release();
+        assertThat(heldBytes.usedBytes()).isEqualTo(95 * KIB);
+    }
+
+    @Test
+    void callThatEndedGivesItsTurnToTheNext() {
+        HeldBytesReservation first = heldBytes.openReservation();
+        first.reserveForResponse(80 * KIB).join();
+        HeldBytesReservation ended = heldBytes.openReservation();
+        CompletableFuture<Boolean> abandoned = ended.reserveForResponse(90 * KIB);
+        CompletableFuture<Boolean> next = heldBytes.openReservation().reserveForResponse(90 * KIB);
+        ended.release();
+        first.release();
+
+        assertThat(abandoned.join()).isFalse();
+        assertThat(next.join()).isTrue();
+    }
+
+    @Test
+    void responseAboveTheLimitIsNotReserved() {
+        assertThat(heldBytes.openReservation().reserveForResponse(101 * KIB).join())
+                .isFalse();
+    }
+
+    @Test
+    void limitFitsIntoTheHeap() {
+        HeldBytes limited = HeldBytes.withinHeap(64 << 20, 100 << 20);
+
+        assertThat(limited.openReservation().tryReserveForRequest(31 << 20)).isFalse();
+        assertThat(limited.openReservation().tryReserveForRequest(29 << 20)).isTrue();
+    }
 }
