--- a/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
@@ -215,7 +215,8 @@
         dependencies.metrics().callEnded(serviceName, callOutcome.outcome(), timer.processingNanos(dependencies.now()));
         record.ended(finalResponse.status(), callOutcome.label(), dependencies.now());
         dependencies.callLog().logCall(request.getHeaders(), record);
-        Callback done = Callback.from(callback, this::release);
+        BufferedResponse written = finalResponse;
+        Callback done = Callback.from(callback, () -> release(written));
         try {
             ResponseWriter.write(finalResponse, request, response, done);
         } catch (RuntimeException e) {
@@ -229,7 +230,8 @@
         return handedToGuard ? refused : Refusals.beforeGuard(request.getHeaders(), refused);
     }
 
-    private void release() {
+    private void release(BufferedResponse written) {
+        written.discardBody();
         reservation.release();
         dependencies.callsInProgress().finish();
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ForwardedHeaders.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ForwardedHeaders.java
@@ -74,6 +74,6 @@
         SIGNAL_HEADERS.forEach(fields::remove);
         REMOVED_FROM_RESPONSES.forEach(fields::remove);
         fields.add(HttpHeader.VIA, VIA).put(CallHeaders.OUTCOME, Outcome.ANSWERED.label());
-        return new BufferedResponse(response.status(), fields, response.body());
+        return response.withHeaders(fields);
     }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -280,17 +280,17 @@
                     result.getFailure()));
             return false;
         }
-        Response response = result.getResponse();
-        if (HttpStatus.isInformational(response.getStatus())) {
+        Response received = result.getResponse();
+        if (HttpStatus.isInformational(received.getStatus())) {
             // The client skips one interim response of a kind and takes a repetition for the final one.
             closeConnection();
             responseFuture.completeExceptionally(new SendException(
                     SendException.Kind.ANSWER_INCOMPLETE,
-                    "the upstream sent interim response " + response.getStatus() + " instead of a final one",
+                    "the upstream sent interim response " + received.getStatus() + " instead of a final one",
                     null));
             return false;
         }
-        if (!hasReliableEnd(response)) {
+        if (!hasReliableEnd(received)) {
             responseFuture.completeExceptionally(new SendException(
                     SendException.Kind.ANSWER_INCOMPLETE,
                     "the response has neither a Content-Length nor chunked encoding",
@@ -304,7 +304,9 @@
                     null));
             return false;
         }
-        return responseFuture.complete(new BufferedResponse(head.status(), head.headers(), body.toByteBuffer()));
+        BufferedResponse response = new BufferedResponse(head.status(), head.headers(), body.toByteBuffer());
+        body = new BodyBuffer(0);
+        return responseFuture.complete(response);
     }
 
     private void closeConnection() {
