--- a/core/src/main/java/org/sardinepost/core/membership/LeavingMarks.java
+++ b/core/src/main/java/org/sardinepost/core/membership/LeavingMarks.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.sardinepost.core.routing.UpstreamId;
 
 /**
@@ -54,12 +55,12 @@
     /**
      * Removes the expired marks and returns the upstreams that are no longer marked.
      *
-     * @param listedInstances the instances that the VM list shows, by address
+     * @param listedInstance returns the instance that the VM list shows at an address
      */
-    Set<UpstreamId> removeExpired(Map<UpstreamId, Optional<String>> listedInstances, long nowNanos) {
+    Set<UpstreamId> removeExpired(Function<UpstreamId, Optional<String>> listedInstance, long nowNanos) {
         Set<UpstreamId> unmarked = new HashSet<>();
         marks.forEach((upstream, marksOfUpstream) -> {
-            Optional<String> listed = listedInstances.getOrDefault(upstream, Optional.empty());
+            Optional<String> listed = listedInstance.apply(upstream);
             boolean removed = marksOfUpstream.values().removeIf(mark -> hasEnded(mark, listed, nowNanos));
             if (removed && mark(upstream, listed).isEmpty()) {
                 unmarked.add(upstream);
--- a/core/src/main/java/org/sardinepost/core/membership/Membership.java
+++ b/core/src/main/java/org/sardinepost/core/membership/Membership.java
@@ -108,9 +108,7 @@
 
     /** Removes expired marks and absent upstreams that are no longer kept. */
     public boolean expire(long nowNanos) {
-        Map<UpstreamId, Optional<String>> listedInstances = new HashMap<>();
-        listedUpstreams.values().forEach(upstream -> listedInstances.put(upstream.id(), upstream.instance()));
-        Set<UpstreamId> expiredMarks = marks.removeExpired(listedInstances, nowNanos);
+        Set<UpstreamId> expiredMarks = marks.removeExpired(this::listedInstance, nowNanos);
         // An upstream that was marked as leaving and is no longer listed has left.
         expiredMarks.stream().filter(this::isAbsent).forEach(this::removeUpstream);
         return removeExpiredAbsences(nowNanos) || !expiredMarks.isEmpty();
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/SharedDispatcher.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/SharedDispatcher.java
@@ -70,7 +70,8 @@
         if (allClosed.isPresent()) {
             return CompletableFuture.failedFuture(allClosed.get());
         }
-        DispatchRequest restricted = request.withClosed(closedUpstreams.untilNanos(nowNanos));
+        Map<UpstreamId, Long> closedUntilNanos = closedUpstreams.untilNanos(nowNanos);
+        DispatchRequest restricted = closedUntilNanos.isEmpty() ? request : request.withClosed(closedUntilNanos);
         CompletableFuture<Dispatch> requested = placement
                 .coordinator(service, nowNanos)
                 .map(coordinator -> placement.requestDispatch(coordinator, service, restricted, nowNanos))
