Separate the bytes reserved for a response body from its collector

Result: LargeResponseTest, HeldBytesTest, ResponseTest, EndlessResponseTest, CallTerminationTest and RetryTest pass.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -25,7 +26,7 @@
     private final BufferedRequest sentRequest;
     private final UpstreamProtocol protocol;
     private final long limitBytes;
-    private final HeldBytesReservation reservation;
+    private final ResponseBodyReservation bodyReservation;
     private final CompletableFuture<BufferedResponse> responseFuture = new CompletableFuture<>();
     private volatile boolean requestBegun;
     private volatile boolean responseBegun;
@@ -34,12 +35,8 @@
     private BufferedResponse head;
 
     private boolean truncated;
-    private boolean discarded;
-    private boolean lengthKnown;
-    private boolean reservedSmall;
-    private CompletableFuture<Void> bodyReserved = CompletableFuture.completedFuture(null);
+    private CompletableFuture<Boolean> bodyReserved = CompletableFuture.completedFuture(true);
     private BodyBuffer body = new BodyBuffer(0);
-    private long reservedBytes;
 
     ResponseCollector(
             Request exchange,
@@ -51,7 +48,7 @@
         this.sentRequest = sentRequest;
         this.protocol = protocol;
         this.limitBytes = Math.min(limitBytes, MAX_BODY_BYTES);
-        this.reservation = reservation;
+        this.bodyReservation = new ResponseBodyReservation(reservation, this.limitBytes);
         var unused = responseFuture.whenComplete((response, failure) -> {
             if (responseFuture.isCancelled()) {
                 abort(new CancellationException("the call was cancelled"));
@@ -101,14 +98,17 @@
             return;
         }
         long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
-        lengthKnown = length > 0;
-        if (hasBody(response) && length != 0) {
-            bodyReserved = reserveFor(Math.max(0, length)).thenAccept(reserved -> {
-                if (reserved && lengthKnown) {
-                    body = new BodyBuffer((int) length);
-                }
-            });
+        if (!hasBody(response) || length == 0) {
+            return;
         }
+        bodyReserved = length == LENGTH_UNKNOWN
+                ? reserveFor(0, bodyReservation::reserveFor)
+                : reserveFor(length, bodyReservation::reserveWhole).thenApply(reserved -> {
+                    if (reserved) {
+                        body = new BodyBuffer((int) length);
+                    }
+                    return reserved;
+                });
     }
 
     /**
@@ -119,11 +119,16 @@
     public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
         chunk.retain();
         var unused = bodyReserved
-                .thenCompose(done -> reserveFor(body.size() + (long) chunk.remaining()))
-                .whenComplete((reserved, failure) -> {
-                    if (failure == null && reserved) {
+                .thenCompose(done -> reserveFor(body.size() + (long) chunk.remaining(), bodyReservation::reserveFor))
+                .thenAccept(reserved -> {
+                    if (reserved) {
                         body.append(chunk.getByteBuffer());
                     }
+                })
+                .whenComplete((appended, failure) -> {
+                    if (failure != null) {
+                        failNotHeld(body.size() + (long) chunk.remaining());
+                    }
                     chunk.release();
                     demander.run();
                 });
@@ -134,13 +139,8 @@
         throw new UnsupportedOperationException("the content is received in chunks");
     }
 
-    /**
-     * Reserves the bytes that a body needs to reach this size; the future is false if it must not.
-     *
-     * <p>A body of unknown length that is no longer small gets all that it can need at once, twice its limit since a buffer
-     * that grows exists twice while it is copied. If many bodies grew in steps, each could wait for what the others hold.
-     */
-    private CompletableFuture<Boolean> reserveFor(long bodyBytes) {
+    /** Returns whether the body may reach this size; if not, this response has failed. */
+    private CompletableFuture<Boolean> reserveFor(long bodyBytes, LongFunction<CompletableFuture<Boolean>> reserve) {
         if (responseFuture.isDone()) {
             return CompletableFuture.completedFuture(false);
         }
@@ -148,68 +148,18 @@
             fail(SendException.Kind.ANSWER_TOO_LARGE, "the response exceeds " + limitBytes + " bytes");
             return CompletableFuture.completedFuture(false);
         }
-        if (bodyBytes <= HeldBytes.SMALL_RESPONSE_BYTES && reserveSmall()) {
-            return CompletableFuture.completedFuture(true);
-        }
-        long neededBytes = lengthKnown ? bodyBytes : Math.min(2 * limitBytes, reservation.growingResponseLimitBytes());
-        boolean tooLarge = !lengthKnown && 2 * bodyBytes > neededBytes;
-        if (!tooLarge && neededBytes <= reservedBytes) {
-            return CompletableFuture.completedFuture(true);
-        }
-        CompletableFuture<Boolean> reservedFuture = tooLarge
-                ? CompletableFuture.completedFuture(false)
-                : reservation.reserveForResponse(neededBytes - reservedBytes);
-        return reservedFuture.thenApply(reserved -> {
-            if (reserved) {
-                releaseSmall();
-                return keepReserved(neededBytes - reservedBytes);
+        return reserve.apply(bodyBytes).thenApply(reserved -> {
+            if (!reserved && !responseFuture.isDone()) {
+                failNotHeld(bodyBytes);
             }
-            if (!responseFuture.isDone()) {
-                fail(
-                        SendException.Kind.ANSWER_NOT_HELD,
-                        "cannot buffer " + bodyBytes + " bytes of a response: the limit of held bytes is lower");
-            }
-            return false;
+            return reserved;
         });
     }
 
-    private boolean reserveSmall() {
-        if (reservedBytes > 0) {
-            return true;
-        }
-        reservedSmall = reservedSmall || reservation.tryReserveForSmallResponse(HeldBytes.SMALL_RESPONSE_BYTES);
-        return reservedSmall;
-    }
-
-    private void releaseSmall() {
-        if (reservedSmall) {
-            reservedSmall = false;
-            reservation.releaseSmallResponse();
-        }
-    }
-
-    /** Adds reserved bytes to those of this response, or releases them if the response was discarded meanwhile. */
-    private boolean keepReserved(long bytes) {
-        synchronized (this) {
-            if (!discarded) {
-                reservedBytes += bytes;
-                return true;
-            }
-        }
-        reservation.releasePart(bytes);
-        return false;
-    }
-
-    private void discard() {
-        long releasedBytes;
-        synchronized (this) {
-            discarded = true;
-            releasedBytes = reservedBytes;
-            reservedBytes = 0;
-        }
-        body = new BodyBuffer(0);
-        releaseSmall();
-        reservation.releasePart(releasedBytes);
+    private void failNotHeld(long bodyBytes) {
+        fail(
+                SendException.Kind.ANSWER_NOT_HELD,
+                "cannot buffer " + bodyBytes + " bytes of a response: the limit of held bytes is lower");
     }
 
     private void fail(SendException.Kind kind, String message) {
@@ -264,7 +214,8 @@
     public void onComplete(Result result) {
         completed = true;
         if (!complete(result)) {
-            discard();
+            body = new BodyBuffer(0);
+            bodyReservation.release();
         }
     }
 
