Close an upstream only to the daemons that it turned away

Change: FleetClosure is removed; a daemon that was turned away stays away for the time it was told, as before.

--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -351,11 +351,10 @@
             UpstreamState state = dispatch.state;
             state.inFlight--;
             if (state.usable()) {
-                recordLoad(state, dispatch.request.origin(), result, nowNanos);
+                recordLoad(state, result, nowNanos);
                 recordOutcome(dispatch, result, nowNanos);
             }
             if (result.kind() == DispatchResult.Kind.ANSWERED) {
-                state.fleetClosure.answered();
                 serviceTimes.recordResponse(dispatch.request.kind(), nowNanos - dispatch.startNanos);
                 state.idleConnections.release(dispatch.request.origin().daemon(), nowNanos);
             }
@@ -382,12 +381,9 @@
                 dispatch.state, outlierKind(dispatch.state, result), dispatch.trial, normalizedNanos, nowNanos);
     }
 
-    private void recordLoad(UpstreamState state, Origin origin, DispatchResult result, long nowNanos) {
+    private void recordLoad(UpstreamState state, DispatchResult result, long nowNanos) {
         boolean reportedFull =
                 result.load().map(load -> load.inFlight() >= load.slots()).orElse(true);
-        if (reportedFull) {
-            result.retryAfter().ifPresent(delay -> state.fleetClosure.turnedAway(origin.daemon(), delay, nowNanos));
-        }
         if (result.kind() == DispatchResult.Kind.REFUSED && reportedFull) {
             state.backoffUntilNanos = nowNanos + (long) (REFUSAL_BACKOFF_FRACTION * serviceTimes.meanNanos());
         }
--- a/core/src/main/java/org/sardinepost/core/routing/CentralUpstreamSelector.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralUpstreamSelector.java
@@ -97,7 +97,7 @@
             boolean due = state.usable()
                     && state.inFlight == 0
                     && state.ejection.trialDue(nowNanos)
-                    && isOpen(state, request, nowNanos)
+                    && !request.isClosed(state.id(), nowNanos)
                     && !request.excluded().contains(state.id());
             if (due) {
                 return Optional.of(state);
@@ -106,15 +106,10 @@
         return Optional.empty();
     }
 
-    /** Returns whether the upstream may receive calls of the origin of the request. */
-    static boolean isOpen(UpstreamState state, DispatchRequest request, long nowNanos) {
-        return !state.fleetClosure.active(nowNanos) && !request.isClosed(state.id(), nowNanos);
-    }
-
     private static boolean isCandidate(UpstreamState state, DispatchRequest request, SelectionContext context) {
         return state.usable()
                 && !state.ejection.ejected()
-                && isOpen(state, request, context.nowNanos())
+                && !request.isClosed(state.id(), context.nowNanos())
                 && hasFreeSlot(state, context);
     }
 
--- a/core/src/main/java/org/sardinepost/core/routing/UpstreamState.java
+++ b/core/src/main/java/org/sardinepost/core/routing/UpstreamState.java
@@ -14,7 +14,6 @@
     final EjectionState ejection = new EjectionState();
     final HostSlowdown hostSlowdown = new HostSlowdown();
     final IdleConnections idleConnections = new IdleConnections();
-    final FleetClosure fleetClosure = new FleetClosure();
     /** No calls are dispatched until this time because the upstream recently refused one. */
     long backoffUntilNanos = Long.MIN_VALUE / 2;
     /** When the last probe was sent. */
