Take a slow read of the store for no sign of lost entries

A read above 250 ms counted as a disturbance of the store and held removals for 3.15 s, though the daemon itself may have been slow. Suspected, not shown by a log. Change: only failed reads and a lost history are signs.

--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -183,7 +183,9 @@
 
     private void handleSnapshot(SourceSnapshot snapshot, long startNanos) {
         readSchedule.completed(startNanos);
-        disturbances.readCompleted(snapshot.historyLost(), startNanos, clock.nanos());
+        if (snapshot.historyLost()) {
+            disturbances.historyLost(clock.nanos());
+        }
         if (down) {
             down = false;
             LogEvent.CONFIGURATION_SOURCE_RECOVERED.info(source.location());
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SourceDisturbances.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SourceDisturbances.java
@@ -1,6 +1,5 @@
 package org.sardinepost.daemon.control;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.function.LongConsumer;
 
@@ -8,12 +7,10 @@
  * Collects the evidence that the source was disturbed, after which entries may be missing from its VM list.
  *
  * <p>Each daemon believes its own reads. Its peers are only told what the source itself has said, by an error response or
- * by the loss of its history, because an unanswered or slow read can have its cause at the reading daemon.
+ * by the loss of its history, because an unanswered read can have its cause at the reading daemon. A slow read is no
+ * evidence: it loses no entries, and most often the daemon itself was slow.
  */
 final class SourceDisturbances {
-    /** Many times the usual duration of a read. */
-    private static final long SLOW_READ_NANOS = Duration.ofMillis(250).toNanos();
-
     private final LongConsumer listener;
     private Optional<Long> lastCertainNanos = Optional.empty();
 
@@ -26,10 +23,8 @@
         record(nowNanos, cause instanceof SourceException);
     }
 
-    void readCompleted(boolean historyLost, long startNanos, long nowNanos) {
-        if (historyLost || nowNanos - startNanos >= SLOW_READ_NANOS) {
-            record(nowNanos, historyLost);
-        }
+    void historyLost(long nowNanos) {
+        record(nowNanos, true);
     }
 
     void reportedByPeer(long disturbedNanos) {
