--- a/core/src/main/java/org/sardinepost/core/membership/AbsencePolicy.java
+++ b/core/src/main/java/org/sardinepost/core/membership/AbsencePolicy.java
@@ -7,14 +7,20 @@
  * Decides when an upstream that is no longer in the VM list is removed.
  *
  * <p>A manually maintained list can be outdated, so an absent upstream is kept until a connection to it fails. A
- * registry removes the entry of an upstream that has left, so an absent upstream is removed after a hold time, however
- * many are absent. Entries can also expire while the registry is unavailable. The absences that follow a disturbance of
- * the registry are therefore held until the upstreams have had time to register again.
+ * registry removes the entry of an upstream that has left, so an absent upstream is removed after a hold time. Entries
+ * can also expire while the registry is unavailable. Many absences at once that follow a disturbance of the registry are
+ * therefore held until the upstreams have had time to register again.
  */
 public final class AbsencePolicy {
     /** Upstreams register again within two seconds, and the list is read at least every 1.15 s. */
     private static final long REREGISTRATION_NANOS = Duration.ofMillis(3_150).toNanos();
 
+    /** Fewer entries than this often disappear at once when upstreams are replaced. */
+    private static final int MIN_SIMULTANEOUS_LOSSES = 3;
+
+    /** A planned scale-down usually removes a smaller fraction of the upstreams at once. */
+    private static final double MIN_LOST_FRACTION = 0.2;
+
     private final Optional<Long> holdNanos;
 
     private AbsencePolicy(Optional<Long> holdNanos) {
@@ -31,8 +37,16 @@
         return new AbsencePolicy(Optional.of(hold.toNanos()));
     }
 
-    /** Returns whether an upstream that disappears now may only have lost its entry in a disturbance. */
-    boolean isDoubtful(Optional<Long> disturbedNanos, long nowNanos) {
+    /**
+     * Returns whether upstreams that disappear now may only have lost their entries in a disturbance, which loses many at
+     * once.
+     */
+    boolean isDoubtful(int disappeared, int listedBefore, Optional<Long> disturbedNanos, long nowNanos) {
+        boolean many = disappeared >= MIN_SIMULTANEOUS_LOSSES && disappeared > MIN_LOST_FRACTION * listedBefore;
+        return many && wasDisturbed(disturbedNanos, nowNanos);
+    }
+
+    private static boolean wasDisturbed(Optional<Long> disturbedNanos, long nowNanos) {
         return disturbedNanos
                 .filter(disturbed -> nowNanos - disturbed < REREGISTRATION_NANOS)
                 .isPresent();
@@ -44,7 +58,7 @@
      * @param disturbedNanos the time of the last known disturbance of the registry; empty if there was none
      */
     boolean shouldRemove(Absence absence, Optional<Long> disturbedNanos, long nowNanos) {
-        if (holdNanos.isEmpty() || (absence.doubtful() && isDoubtful(disturbedNanos, nowNanos))) {
+        if (holdNanos.isEmpty() || (absence.doubtful() && wasDisturbed(disturbedNanos, nowNanos))) {
             return false;
         }
         return nowNanos - absence.sinceNanos() >= holdNanos.get();
--- a/core/src/main/java/org/sardinepost/core/membership/Membership.java
+++ b/core/src/main/java/org/sardinepost/core/membership/Membership.java
@@ -192,7 +192,11 @@
     private boolean updateUnlisted(Set<UpstreamId> currentUpstreams, long nowNanos) {
         Map<UpstreamId, ListedUpstream> unlistedUpstreams = new HashMap<>(listedUpstreams);
         unlistedUpstreams.keySet().removeAll(currentUpstreams);
-        Absence absence = new Absence(nowNanos, absencePolicy.isDoubtful(lastDisturbedNanos, nowNanos));
+        int disappeared = (int) unlistedUpstreams.values().stream()
+                .filter(upstream -> upstream.state() == ListedState.LIVE)
+                .count();
+        boolean doubtful = absencePolicy.isDoubtful(disappeared, listedUpstreams.size(), lastDisturbedNanos, nowNanos);
+        Absence absence = new Absence(nowNanos, doubtful);
         unlistedUpstreams.forEach((id, upstream) -> {
             if (upstream.state() == ListedState.LEAVING) {
                 removeUpstream(id);
