--- a/core/src/main/java/org/sardinepost/core/membership/Membership.java
+++ b/core/src/main/java/org/sardinepost/core/membership/Membership.java
@@ -19,8 +19,8 @@
  *
  * <p>The VM list can be outdated. A leaving mark therefore overrides a list that shows the upstream as live, until the
  * mark expires or a newer list shows the upstream as newly started: live after it was leaving or absent, or live with
- * another instance name. A process that said itself that it is leaving stays marked as long as it is listed. An upstream that disappears from the list is kept until a connection to it fails or the
- * absence policy removes it.
+ * another instance name. A process that said itself that it is leaving stays marked as long as it is listed. An
+ * upstream that disappears from the list is kept until a connection to it fails or the absence policy removes it.
  *
  * <p>Not thread-safe: only the control thread uses it. Methods that update the state and return a boolean return
  * whether the membership changed.
@@ -88,7 +88,7 @@
         return addMark(upstream, new LeavingMark(signal, instance, observedNanos, Optional.of(peer)), nowNanos);
     }
 
-    /** Records that the registry behind the VM list was unavailable, slow or had lost its history at this time. */
+    /** Records that the registry behind the VM list was unavailable or had lost its history at this time. */
     public void registryDisturbed(long disturbedNanos) {
         lastDisturbedNanos = lastDisturbedNanos
                 .filter(previous -> previous - disturbedNanos >= 0)
--- a/core/src/main/java/org/sardinepost/core/routing/ClosedUpstreams.java
+++ b/core/src/main/java/org/sardinepost/core/routing/ClosedUpstreams.java
@@ -66,9 +66,14 @@
         }
     }
 
+    /** Returns whether no closure is recorded; one that has ended may still be. */
+    boolean isEmpty() {
+        return closures.isEmpty();
+    }
+
     public boolean isClosed(UpstreamId upstream, long nowNanos) {
         Closure closure = closures.get(upstream);
-        return closure != null && closure.untilNanos() - nowNanos > 0;
+        return closure != null && closure.leftNanos(nowNanos) > 0;
     }
 
     /** Returns when each closed upstream accepts calls of this daemon again. */
@@ -76,7 +81,7 @@
         if (closures.isEmpty()) {
             return Map.of();
         }
-        closures.values().removeIf(closure -> closure.untilNanos() - nowNanos <= 0);
+        closures.values().removeIf(closure -> closure.leftNanos(nowNanos) <= 0);
         Map<UpstreamId, Long> untilNanos = new HashMap<>();
         closures.forEach((upstream, closure) -> untilNanos.put(upstream, closure.untilNanos()));
         return untilNanos;
@@ -94,10 +99,10 @@
         long firstNanos = Long.MAX_VALUE;
         for (UpstreamId upstream : upstreams) {
             Closure closure = closures.get(upstream);
-            if (closure == null || closure.untilNanos() - nowNanos <= 0) {
+            if (closure == null || closure.leftNanos(nowNanos) <= 0) {
                 return Optional.empty();
             }
-            firstNanos = Math.min(firstNanos, closure.untilNanos() - nowNanos);
+            firstNanos = Math.min(firstNanos, closure.leftNanos(nowNanos));
         }
         Duration delay = Duration.ofNanos(firstNanos + (long) (nextDouble() * RETURN_SPREAD_NANOS));
         return Optional.of(new RefusedException(
@@ -113,5 +118,9 @@
         Closure {
             Objects.requireNonNull(instance);
         }
+
+        long leftNanos(long nowNanos) {
+            return untilNanos - nowNanos;
+        }
     }
 }
--- a/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
@@ -324,6 +324,9 @@
     }
 
     private Optional<RefusedException> refusalIfAllClosed(long nowNanos) {
+        if (closedUpstreams.isEmpty()) {
+            return Optional.empty();
+        }
         List<UpstreamId> usable = states.values().stream()
                 .filter(UpstreamState::usable)
                 .map(UpstreamState::id)
--- a/daemon/src/main/java/org/sardinepost/daemon/call/HeldBytes.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/HeldBytes.java
@@ -78,18 +78,16 @@
      * @param abandoned returns whether a reservation that waits is no longer wanted
      * @return the future of the reservation; false if the bytes exceed the limit or the reservation was abandoned
      */
-    CompletableFuture<Boolean> reserveForResponse(long bytes, BooleanSupplier abandoned) {
-        synchronized (this) {
-            if (bytes > limitBytes) {
-                return CompletableFuture.completedFuture(false);
-            }
-            if (waiters.isEmpty() && tryReserve(bytes, limitBytes)) {
-                return CompletableFuture.completedFuture(true);
-            }
-            Waiter waiter = new Waiter(bytes, abandoned, new CompletableFuture<>());
-            waiters.addLast(waiter);
-            return waiter.granted();
+    synchronized CompletableFuture<Boolean> reserveForResponse(long bytes, BooleanSupplier abandoned) {
+        if (bytes > limitBytes) {
+            return CompletableFuture.completedFuture(false);
+        }
+        if (waiters.isEmpty() && tryReserve(bytes, limitBytes)) {
+            return CompletableFuture.completedFuture(true);
         }
+        Waiter waiter = new Waiter(bytes, abandoned, new CompletableFuture<>());
+        waiters.addLast(waiter);
+        return waiter.granted();
     }
 
     /** Reserves some of the bytes that only small responses may use; returns false if there are not enough. */
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseClassifier.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseClassifier.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.sardinepost.core.call.RetryAfter;
@@ -37,18 +38,23 @@
     static DispatchResult toDispatchResult(BufferedResponse response) {
         Optional<ReportedLoad> load =
                 Optional.ofNullable(response.headers().get(CallHeaders.LOAD)).flatMap(ReportedLoad::parse);
-        boolean leaving = "1".equals(response.headers().get(CallHeaders.DRAINING));
-        return new DispatchResult(resultKind(response), load, leaving, retryAfter(response));
+        Optional<Duration> retryAfter =
+                relaysDaemonResponse(response) ? Optional.empty() : retryAfter(response.status(), response.headers());
+        return new DispatchResult(resultKind(response), load, isDraining(response.headers()), retryAfter);
+    }
+
+    /** Returns whether an upstream says that it is leaving. */
+    static boolean isDraining(HttpFields headers) {
+        return "1".equals(headers.get(CallHeaders.DRAINING));
     }
 
     /** Returns the time for which an upstream that turned a request away wants no more of them from this daemon. */
-    private static Optional<Duration> retryAfter(BufferedResponse response) {
-        String value = response.headers().get(HttpHeader.RETRY_AFTER);
-        boolean turnedAway = response.status() == HttpStatus.SERVICE_UNAVAILABLE_503 && !relaysDaemonResponse(response);
-        if (!turnedAway || value == null) {
+    static Optional<Duration> retryAfter(int status, HttpFields headers) {
+        String value = headers.get(HttpHeader.RETRY_AFTER);
+        if (status != HttpStatus.SERVICE_UNAVAILABLE_503 || value == null) {
             return Optional.empty();
         }
-        return RetryAfter.parse(value, Optional.ofNullable(response.headers().get(HttpHeader.DATE)));
+        return RetryAfter.parse(value, Optional.ofNullable(headers.get(HttpHeader.DATE)));
     }
 
     private static DispatchResult.Kind resultKind(BufferedResponse response) {
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProber.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProber.java
@@ -1,14 +1,9 @@
 package org.sardinepost.daemon.call;
 
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpStatus;
-import org.sardinepost.core.call.RetryAfter;
 import org.sardinepost.core.routing.ReportedLoad;
 import org.sardinepost.core.routing.Upstream;
 
@@ -52,18 +47,11 @@
             if (protocol.healthLeaving(response.getHeaders())) {
                 listener.leavingReported(upstream);
             }
-            retryAfter(response).ifPresent(delay -> listener.retryAfterReported(upstream, delay));
+            ResponseClassifier.retryAfter(response.getStatus(), response.getHeaders())
+                    .ifPresent(delay -> listener.retryAfterReported(upstream, delay));
             protocol.healthLoad(response.getHeaders()).ifPresent(load -> listener.loadReported(upstream, load));
         });
         // A failed probe reports no load; the dispatcher then assumes the usual load.
         request.send(result -> {});
     }
-
-    private static Optional<Duration> retryAfter(Response response) {
-        String value = response.getHeaders().get(HttpHeader.RETRY_AFTER);
-        if (response.getStatus() != HttpStatus.SERVICE_UNAVAILABLE_503 || value == null) {
-            return Optional.empty();
-        }
-        return RetryAfter.parse(value, Optional.ofNullable(response.getHeaders().get(HttpHeader.DATE)));
-    }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
@@ -37,7 +37,7 @@
 
     /** Returns whether an upstream reported on its health path that it is leaving. */
     default boolean healthLeaving(HttpFields headers) {
-        return "1".equals(headers.get(CallHeaders.DRAINING));
+        return ResponseClassifier.isDraining(headers);
     }
 
     /** Returns the load that an upstream reported on its health path; empty if it reported none. */
--- a/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
@@ -55,7 +55,7 @@
         publishIfChanged(membership.markLeaving(upstream, LeavingSignal.ANSWER_HEADER, instance, clock.nanos()));
     }
 
-    /** Records that the registry behind the VM list was unavailable, slow or had lost its history at this time. */
+    /** Records that the registry behind the VM list was unavailable or had lost its history at this time. */
     void registryDisturbed(long disturbedNanos) {
         membership.registryDisturbed(disturbedNanos);
     }
