Hold removals only after the store answered no daemon, not after a late read

Cause, traced: removals were held for 3.15 s after signs that told of the reading daemon, not of the store. Change: DisturbanceDetector takes only a time without a response to any daemon, 3 s or more, as evidence.

--- a/core/src/main/java/org/sardinepost/core/membership/Membership.java
+++ b/core/src/main/java/org/sardinepost/core/membership/Membership.java
@@ -162,6 +162,16 @@
         return Set.copyOf(daemons);
     }
 
+    /** Returns the upstreams that are no longer listed and not removed yet. */
+    public Map<UpstreamId, Absence> absences() {
+        return Map.copyOf(absences);
+    }
+
+    /** Returns whether the last list shows the upstream, live or leaving. */
+    public boolean isListed(UpstreamId upstream) {
+        return listedUpstreams.containsKey(upstream) && !isAbsent(upstream);
+    }
+
     private boolean applyUpstreams(VmList list, long nowNanos) {
         Map<UpstreamId, ListedUpstream> currentUpstreams = new LinkedHashMap<>();
         list.vms().stream()
--- a/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.sardinepost.core.ini.ValidationResult;
+import org.sardinepost.core.membership.Absence;
 import org.sardinepost.core.membership.LeavingSignal;
 import org.sardinepost.core.membership.Membership;
 import org.sardinepost.core.membership.VmList;
@@ -25,6 +27,7 @@
     private final Clock clock;
     private final Runnable onChange;
     private Set<UpstreamId> leaving = Set.of();
+    private Map<UpstreamId, Absence> absences = Map.of();
     private boolean vmListRead;
 
     MembershipController(
@@ -47,7 +50,9 @@
             return;
         }
         vmListRead = true;
-        publishIfChanged(membership.applyList(result.value().get(), value.revision(), clock.nanos()));
+        boolean changed = membership.applyList(result.value().get(), value.revision(), clock.nanos());
+        logAbsences();
+        publishIfChanged(changed);
     }
 
     /** Records that a process said in a response to this daemon that it is leaving. */
@@ -61,7 +66,9 @@
     }
 
     void connectionFailed(UpstreamId upstream, boolean refused) {
-        publishIfChanged(membership.connectionFailed(upstream, refused, clock.nanos()));
+        boolean changed = membership.connectionFailed(upstream, refused, clock.nanos());
+        logAbsences();
+        publishIfChanged(changed);
     }
 
     /** Applies the leaving marks in a load batch from a peer. */
@@ -81,7 +88,9 @@
     }
 
     void tick() {
-        publishIfChanged(membership.expire(clock.nanos()));
+        boolean changed = membership.expire(clock.nanos());
+        logAbsences();
+        publishIfChanged(changed);
     }
 
     Map<String, List<Upstream>> upstreamsByService() {
@@ -127,6 +136,29 @@
         difference(before, leaving).forEach(LogEvent.UPSTREAM_RETURNED::info);
     }
 
+    private void logAbsences() {
+        Map<UpstreamId, Absence> before = absences;
+        absences = membership.absences();
+        absences.forEach((upstream, absence) -> {
+            if (!before.containsKey(upstream)) {
+                LogEvent.UPSTREAM_ABSENT.info(upstream, removalLabel(absence));
+            }
+        });
+        before.forEach((upstream, absence) -> {
+            if (!absences.containsKey(upstream)) {
+                LogEvent event =
+                        membership.isListed(upstream) ? LogEvent.UPSTREAM_LISTED_AGAIN : LogEvent.UPSTREAM_REMOVED;
+                event.info(upstream, TimeUnit.NANOSECONDS.toMillis(clock.nanos() - absence.sinceNanos()));
+            }
+        });
+    }
+
+    private static String removalLabel(Absence absence) {
+        return absence.doubtful()
+                ? "unless it is listed again soon, since many disappeared after the source was away"
+                : "after the hold time";
+    }
+
     private void announceLeaving(UpstreamId upstream) {
         membership.mark(upstream).ifPresent(mark -> {
             LogEvent.UPSTREAM_LEAVING.info(upstream, mark.signal().label());
--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerTable.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerTable.java
@@ -120,6 +120,12 @@
         return peers.values().stream().filter(Peer::connected).toList();
     }
 
+    /** Returns whether this daemon had peers and has lost the connections to all of them. */
+    boolean isolated() {
+        return connected().isEmpty()
+                && peers.values().stream().anyMatch(peer -> peer.hello().isPresent());
+    }
+
     List<Peer> activePeers() {
         return peers.values().stream().filter(Peer::active).toList();
     }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.control;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.sardinepost.core.configuration.ReadSchedule;
 import org.sardinepost.core.configuration.TextDigest;
 import org.sardinepost.core.configuration.TextOrigin;
+import org.sardinepost.core.membership.DisturbanceDetector;
 import org.sardinepost.core.membership.RendezvousHash;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.daemon.log.LogEvent;
@@ -46,7 +48,7 @@
     private final Runnable onRead;
     private final Clock clock;
     private final ReadSchedule readSchedule = new ReadSchedule();
-    private final SourceDisturbances disturbances;
+    private final DisturbanceDetector disturbances;
     private final Set<UpstreamId> askedPeers = new HashSet<>();
     private final Set<UpstreamId> peersAwaitingState = new HashSet<>();
     private Optional<VmListText> vmList = Optional.empty();
@@ -71,12 +73,13 @@
         this.membership = membership;
         this.onRead = onRead;
         this.clock = clock;
-        this.disturbances = new SourceDisturbances(membership::registryDisturbed);
+        this.disturbances = new DisturbanceDetector(clock.nanos());
     }
 
     /** Reads the source if this daemon is due to read it. */
     void tick() {
         long now = clock.nanos();
+        disturbances.tick(peers.isolated(), now);
         pendingState.filter(state -> heldTextRevision() >= state.textRevision()).ifPresent(state -> {
             readSchedule.stateReceived(state.asOfNanos());
             pendingState = Optional.empty();
@@ -122,19 +125,21 @@
 
     /** Applies the state that a peer sent. */
     void handleState(SourceState state) {
+        long asOf = clock.nanos() - TimeUnit.MILLISECONDS.toNanos(state.getAgeMs());
+        if (state.hasDisturbanceAgeMs()) {
+            recordDisturbanceOfPeer(state.getDisturbanceAgeMs());
+        }
+        recordResponse(asOf);
         if (state.getRevision() < revision) {
             return;
         }
-        if (state.hasDisturbanceAgeMs()) {
-            disturbances.reportedByPeer(clock.nanos() - TimeUnit.MILLISECONDS.toNanos(state.getDisturbanceAgeMs()));
-        }
-        SourceStateCodec.decode(state, vmList).ifPresent(list -> applyVmList(list, state.getRevision()));
+        SourceStateCodec.decode(state, vmList)
+                .ifPresent(list -> applyVmList(list, state.getRevision(), VmListOrigin.PEER, asOf));
         TextDigest sentDigest = Digests.fromWire(state.getVmListDigest());
         if (vmList.filter(list -> list.digest().equals(sentDigest)).isEmpty()) {
             return;
         }
         revision = state.getRevision();
-        long asOf = clock.nanos() - TimeUnit.MILLISECONDS.toNanos(state.getAgeMs());
         if (heldTextRevision() >= state.getConfigurationRevision()) {
             readSchedule.stateReceived(asOf);
         } else {
@@ -183,8 +188,9 @@
 
     private void handleSnapshot(SourceSnapshot snapshot, long startNanos) {
         readSchedule.completed(startNanos);
+        recordResponse(clock.nanos());
         if (snapshot.historyLost()) {
-            disturbances.historyLost(clock.nanos());
+            LogEvent.SOURCE_HISTORY_LOST.info(source.location());
         }
         if (down) {
             down = false;
@@ -198,7 +204,7 @@
         snapshot.servicesText().ifPresent(this::applyText);
         Optional<VmListText> previous = vmList;
         VmListText read = VmListText.of(snapshot.vmList());
-        applyVmList(read, snapshot.revision());
+        applyVmList(read, snapshot.revision(), VmListOrigin.OWN_READ, startNanos);
         onRead.run();
         broadcastState(previous, read, startNanos);
         sendStateToAwaitingPeers();
@@ -207,13 +213,29 @@
     private void handleFailure(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         readSchedule.failed(clock.nanos());
-        disturbances.readFailed(cause, clock.nanos());
         if (!down) {
             down = true;
             LogEvent.CONFIGURATION_SOURCE_DOWN.warn(source.location(), String.valueOf(cause.getMessage()));
         }
     }
 
+    /** Records that the source responded to this daemon or a peer, which tells whether it was away before. */
+    private void recordResponse(long respondedNanos) {
+        Optional<Duration> away = disturbances.responded(respondedNanos);
+        away.ifPresent(duration -> {
+            LogEvent.SOURCE_AWAY.warn(source.location(), duration.toMillis());
+            membership.registryDisturbed(respondedNanos);
+        });
+    }
+
+    private void recordDisturbanceOfPeer(long ageMillis) {
+        long disturbedNanos = clock.nanos() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+        if (disturbances.reportedByPeer(disturbedNanos)) {
+            LogEvent.SOURCE_AWAY_BY_PEER.info(source.location(), ageMillis);
+            membership.registryDisturbed(disturbedNanos);
+        }
+    }
+
     private void applyText(SourceValue text) {
         if (text.revision() > textRevision) {
             textRevision = text.revision();
@@ -221,12 +243,13 @@
         }
     }
 
-    private void applyVmList(VmListText newVmList, long asOfRevision) {
+    private void applyVmList(VmListText newVmList, long asOfRevision, VmListOrigin origin, long asOfNanos) {
         if (vmList.filter(newVmList::equals).isPresent()) {
             return;
         }
         vmList = Optional.of(newVmList);
         askedPeers.clear();
+        LogEvent.VM_LIST_RECEIVED.info(asOfRevision, origin.label(), millis(clock.nanos() - asOfNanos));
         membership.applyVmList(new SourceValue(asOfRevision, newVmList.content()));
     }
 
@@ -259,7 +282,7 @@
                 .setVmListDigest(Digests.toWire(list.digest()))
                 .setAgeMs(millis(ageNanos));
         disturbances
-                .lastCertainNanos()
+                .lastDisturbedNanos()
                 .map(disturbed -> clock.nanos() - disturbed)
                 .filter(age -> age < MAX_REPORTED_DISTURBANCE_AGE_NANOS)
                 .ifPresent(age -> state.setDisturbanceAgeMs(millis(age)));
--- a/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
@@ -43,6 +43,14 @@
     HANDOVER_FAILED(218, "handover of the token table of incarnation {} failed: {}"),
     CONTROL_THREAD_ERROR(219, "unexpected error on the control thread: {}"),
     STORE_ITEM_UNREADABLE(220, "ignoring store item {}, which cannot be read: {}"),
+    SOURCE_AWAY(221, "no daemon got a response from {} for {} ms; entries of live upstreams may have expired"),
+    SOURCE_AWAY_BY_PEER(
+            222, "a peer reports that {} was away until {} ms ago; entries of live upstreams may have expired"),
+    SOURCE_HISTORY_LOST(223, "{} has discarded the changes since the last read by this daemon; read all items again"),
+    VM_LIST_RECEIVED(224, "VM list of revision {} received, read by {} {} ms ago"),
+    UPSTREAM_ABSENT(225, "upstream {} is no longer listed; it is removed {}"),
+    UPSTREAM_REMOVED(226, "upstream {} receives no new calls, {} ms after the first list without it"),
+    UPSTREAM_LISTED_AGAIN(227, "upstream {} is listed again, {} ms after the first list without it"),
     CALL_ENDED(300, "{}");
 
     /** The length of {@link #code}. */
--- a/daemon/src/test/java/org/sardinepost/daemon/control/FakePolledSource.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/FakePolledSource.java
@@ -22,6 +22,7 @@
 
     final AtomicInteger reads = new AtomicInteger();
     volatile boolean failing;
+    volatile boolean historyLost;
     private final Content content;
 
     FakePolledSource(Content content) {
@@ -33,7 +34,12 @@
         reads.incrementAndGet();
         return failing
                 ? CompletableFuture.failedFuture(new SourceException("the source is down; wait until it is up again"))
-                : CompletableFuture.completedFuture(content.snapshot);
+                : CompletableFuture.completedFuture(snapshot());
+    }
+
+    private SourceSnapshot snapshot() {
+        SourceSnapshot current = content.snapshot;
+        return new SourceSnapshot(current.revision(), current.servicesText(), current.vmList(), historyLost);
     }
 
     @Override
--- a/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
@@ -179,6 +179,42 @@
         }
     }
 
+    /** A daemon that the source refused kept upstreams in use that it had heard of as removed. */
+    @Test
+    void manyRemovedUpstreamsAreNotKeptByADaemonThatTheSourceRefuses() throws Exception {
+        listFourUpstreams();
+        sources.get(findReader()).failing = true;
+        awaitRemovalOfThree();
+    }
+
+    /** A daemon that had not read for longer than the history of the source made the whole fleet keep removed upstreams. */
+    @Test
+    void manyRemovedUpstreamsAreNotKeptBecauseTheHistoryOfTheSourceIsShort() throws Exception {
+        listFourUpstreams();
+        sources.forEach(source -> source.historyLost = true);
+        int before = reads();
+        await("a read after which all items were read again", () -> reads() > before + 1);
+        awaitRemovalOfThree();
+    }
+
+    private void listFourUpstreams() throws Exception {
+        content.vmList(IntStream.range(7_001, 7_005)
+                .mapToObj(port -> vm(new UpstreamId("127.0.0.1", port), "live"))
+                .collect(Collectors.joining()));
+        awaitUpstreams(4);
+    }
+
+    private void awaitRemovalOfThree() throws Exception {
+        content.vmList(vm("live"));
+        awaitUpstreams(1);
+    }
+
+    private void awaitUpstreams(int expected) throws Exception {
+        for (TestNode node : nodes) {
+            await(expected + " upstreams", () -> upstreams(node) == expected);
+        }
+    }
+
     @Test
     void aDaemonThatMissedAChangeReadsByItself() throws Exception {
         int reader = findReader();
--- a/daemon/src/test/java/org/sardinepost/daemon/control/TestNode.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/TestNode.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -46,6 +47,7 @@
                 .configuration(configuration)
                 .vms(vms)
                 .peers(Arrays.asList(peers))
+                .absentHold(polledSource.map(source -> Duration.ofMillis(300)))
                 .build();
         plane = ControlPlane.builder(settings, incarnation)
                 .textReader(content -> ServicesTextReader.read("services.ini", content))
