Request the whole state from a peer if a change was missed and the source refuses this daemon

Callers: a daemon that the store turned away, and that had lost one message of its peers, kept removed servers in use for as long as the store refused it; servers that were added got no calls of it. Cause: peers send changes to the list that they hold. A daemon without that list waits for its own next read, which fails. Ruled out: marks of leaving servers are sent again on each connection, so servers that drain were not affected. Change: such a daemon asks the peer that sent the change for its state.

--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerMessageHandler.java
@@ -46,7 +46,7 @@
                     .handleMessage(peer.address(), sender.getIncarnation(), message);
             case SOURCE_STATE -> components
                     .sourceReader()
-                    .ifPresent(reader -> reader.handleState(message.getSourceState()));
+                    .ifPresent(reader -> reader.handleState(peer, message.getSourceState()));
             case SOURCE_STATE_REQUEST -> components.sourceReader().ifPresent(reader -> reader.handleStateRequest(peer));
             case PEERS_REQUEST -> components.discovery().handleRequest(peer);
             case PEER_ADDRESSES -> components.discovery().handleAddresses(message.getPeerAddresses());
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -123,8 +123,11 @@
         vmList.ifPresentOrElse(list -> sendState(peer, list), () -> peersAwaitingState.add(peer.address()));
     }
 
-    /** Applies the state that a peer sent. */
-    void handleState(SourceState state) {
+    /**
+     * Applies the state that a peer sent. If this daemon lacks the list that the state is a change to, and cannot read the
+     * source itself, it requests the whole state.
+     */
+    void handleState(Peer peer, SourceState state) {
         long asOf = clock.nanos() - TimeUnit.MILLISECONDS.toNanos(state.getAgeMs());
         if (state.hasDisturbanceAgeMs()) {
             recordDisturbanceOfPeer(state.getDisturbanceAgeMs());
@@ -137,6 +140,9 @@
                 .ifPresent(list -> applyVmList(list, state.getRevision(), VmListOrigin.PEER, asOf));
         TextDigest sentDigest = Digests.fromWire(state.getVmListDigest());
         if (vmList.filter(list -> list.digest().equals(sentDigest)).isEmpty()) {
+            if (down) {
+                requestState(peer);
+            }
             return;
         }
         revision = state.getRevision();
--- a/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
@@ -179,6 +179,22 @@
         }
     }
 
+    /** The change that it missed is the base of all later ones, so it kept an upstream in use that had been removed. */
+    @Test
+    void aDaemonThatMissedAChangeAndCannotReadTheSourceGetsTheStateFromAPeer() throws Exception {
+        content.vmList(vm("live") + vm(ADDED, "live"));
+        awaitUpstreams(2);
+        int reader = findReader();
+        int other = (reader + 1) % NODES;
+        sources.get(other).failing = true;
+        links.get(other).cut();
+        content.vmList(vm("live"));
+        await("the removal", () -> upstreams(nodes.get(reader)) == 1);
+        links.get(other).restore();
+
+        awaitUpstreams(1);
+    }
+
     /** A daemon that the source refused kept upstreams in use that it had heard of as removed. */
     @Test
     void manyRemovedUpstreamsAreNotKeptByADaemonThatTheSourceRefuses() throws Exception {
