--- a/core/src/main/java/org/sardinepost/core/membership/Membership.java
+++ b/core/src/main/java/org/sardinepost/core/membership/Membership.java
@@ -167,9 +167,9 @@
         return Map.copyOf(absences);
     }
 
-    /** Returns whether the last list shows the upstream, live or leaving. */
-    public boolean isListed(UpstreamId upstream) {
-        return listedUpstreams.containsKey(upstream) && !isAbsent(upstream);
+    /** Returns the upstreams of the last list and those that are absent from it and not removed yet. */
+    public Set<UpstreamId> knownUpstreams() {
+        return Set.copyOf(listedUpstreams.keySet());
     }
 
     private boolean applyUpstreams(VmList list, long nowNanos) {
--- a/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
@@ -28,6 +28,7 @@
     private final Runnable onChange;
     private Set<UpstreamId> leaving = Set.of();
     private Map<UpstreamId, Absence> absences = Map.of();
+    private Set<UpstreamId> known = Set.of();
     private boolean vmListRead;
 
     MembershipController(
@@ -137,20 +138,26 @@
     }
 
     private void logAbsences() {
-        Map<UpstreamId, Absence> before = absences;
+        Map<UpstreamId, Absence> absentBefore = absences;
+        Set<UpstreamId> knownBefore = known;
         absences = membership.absences();
-        absences.forEach((upstream, absence) -> {
-            if (!before.containsKey(upstream)) {
-                LogEvent.UPSTREAM_ABSENT.info(upstream, removalLabel(absence));
-            }
-        });
-        before.forEach((upstream, absence) -> {
-            if (!absences.containsKey(upstream)) {
-                LogEvent event =
-                        membership.isListed(upstream) ? LogEvent.UPSTREAM_LISTED_AGAIN : LogEvent.UPSTREAM_REMOVED;
-                event.info(upstream, TimeUnit.NANOSECONDS.toMillis(clock.nanos() - absence.sinceNanos()));
-            }
-        });
+        known = membership.knownUpstreams();
+        difference(absences.keySet(), absentBefore.keySet())
+                .forEach(upstream -> LogEvent.UPSTREAM_ABSENT.info(upstream, removalLabel(absences.get(upstream))));
+        difference(absentBefore.keySet(), absences.keySet()).stream()
+                .filter(known::contains)
+                .forEach(upstream ->
+                        LogEvent.UPSTREAM_LISTED_AGAIN.info(upstream, absentMillis(absentBefore.get(upstream))));
+        difference(knownBefore, known)
+                .forEach(upstream -> LogEvent.UPSTREAM_REMOVED.info(
+                        upstream,
+                        Optional.ofNullable(absentBefore.get(upstream))
+                                .map(this::absentMillis)
+                                .orElse(0L)));
+    }
+
+    private long absentMillis(Absence absence) {
+        return TimeUnit.NANOSECONDS.toMillis(clock.nanos() - absence.sinceNanos());
     }
 
     private static String removalLabel(Absence absence) {
