Detect an outage of the registry also on a daemon whose peers have stopped

Callers: none seen; found when reading the change again. The last daemon of a fleet, whose peers are known and gone, would have taken each outage of the store for its own isolation, and would have dropped servers whose entries had expired meanwhile. Cause: time without any connected peer never counted as an outage. Change: it counts if the daemon already had no peers when it last heard of the registry. Test: DisturbanceDetectorTest.isDetectedByADaemonWhosePeersHaveAllStopped. It was not run without the change. Result: DisturbanceDetectorTest, MembershipTest and SharedSourceReaderTest pass.

--- a/core/src/main/java/org/sardinepost/core/membership/DisturbanceDetector.java
+++ b/core/src/main/java/org/sardinepost/core/membership/DisturbanceDetector.java
@@ -11,8 +11,8 @@
  *
  * <p>Evidence is that no daemon of the fleet got a response for the time in which the first entry can expire. Shorter
  * disturbances lose no entries: a read that timed out, a registry that refuses this daemon and serves others, or a
- * history that is no longer available to a daemon that has not read for long. Time in which this daemon was paused or had
- * lost all its peers is no evidence either, because then only this daemon heard nothing.
+ * history that is no longer available to a daemon that has not read for long. Time in which this daemon was paused, or in
+ * which it lost all its peers together with the registry, is no evidence either, because then only this daemon heard nothing.
  *
  * <p>Not thread-safe.
  */
@@ -29,6 +29,8 @@
     private final Deque<Long> recentResponses = new ArrayDeque<>();
     private long silentSinceNanos;
     private long lastTickNanos;
+    private boolean isolated;
+    private boolean isolatedAtLastResponse;
     private Optional<Long> lastDisturbedNanos = Optional.empty();
 
     public DisturbanceDetector(long nowNanos) {
@@ -39,13 +41,16 @@
     /**
      * Observes whether this daemon could have heard of a response; called on each control tick.
      *
-     * @param isolated whether this daemon had peers and has lost the connections to all of them
+     * @param isolatedNow whether this daemon had peers and has lost the connections to all of them
      */
-    public void tick(boolean isolated, long nowNanos) {
+    public void tick(boolean isolatedNow, long nowNanos) {
         boolean paused = nowNanos - lastTickNanos > TimeUnit.MILLISECONDS.toNanos(PauseDetector.MAX_GAP_MILLIS);
-        if (isolated || paused) {
+        // A daemon that is the last one of its fleet still hears of the registry by its own reads.
+        boolean cutOff = isolatedNow && !isolatedAtLastResponse;
+        if (cutOff || paused) {
             silentSinceNanos = nowNanos;
         }
+        isolated = isolatedNow;
         lastTickNanos = nowNanos;
     }
 
@@ -57,6 +62,7 @@
     public Optional<Duration> responded(long respondedNanos) {
         long silentNanos = respondedNanos - silentSinceNanos;
         silentSinceNanos = Math.max(silentSinceNanos, respondedNanos);
+        isolatedAtLastResponse = isolated;
         recentResponses.addLast(respondedNanos);
         while (respondedNanos - recentResponses.getFirst() > RESPONSE_RETENTION.toNanos()) {
             recentResponses.removeFirst();
@@ -85,15 +91,15 @@
         return true;
     }
 
-    private boolean respondedBetween(long startNanos, long endNanos) {
-        return recentResponses.stream().anyMatch(responded -> responded - startNanos > 0 && endNanos - responded > 0);
-    }
-
     /** Returns the end of the last disturbance; empty if there was none. */
     public Optional<Long> lastDisturbedNanos() {
         return lastDisturbedNanos;
     }
 
+    private boolean respondedBetween(long startNanos, long endNanos) {
+        return recentResponses.stream().anyMatch(responded -> responded - startNanos > 0 && endNanos - responded > 0);
+    }
+
     private void record(long disturbedNanos) {
         lastDisturbedNanos = Optional.of(disturbedNanos);
     }
--- a/core/src/test/java/org/sardinepost/core/membership/DisturbanceDetectorTest.java
+++ b/core/src/test/java/org/sardinepost/core/membership/DisturbanceDetectorTest.java
@@ -73,6 +73,16 @@
             assertThat(disturbedBy(6_300)).isFalse();
         }
 
+        @Test
+        void isDetectedByADaemonWhosePeersHaveAllStopped() {
+            disturbedBy(700);
+            tickUntil(1_300, true);
+            detector.responded(nanos(1_400));
+            tickUntil(5_900, true);
+
+            assertThat(detector.responded(nanos(5_900))).isPresent();
+        }
+
         @Test
         void isDetectedOnceEvenIfAnOlderResponseIsReportedLater() {
             disturbedBy(5_400);
--- a/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
@@ -52,7 +52,7 @@
         }
         vmListRead = true;
         boolean changed = membership.applyList(result.value().get(), value.revision(), clock.nanos());
-        logAbsences();
+        logRemovals();
         publishIfChanged(changed);
     }
 
@@ -68,7 +68,7 @@
 
     void connectionFailed(UpstreamId upstream, boolean refused) {
         boolean changed = membership.connectionFailed(upstream, refused, clock.nanos());
-        logAbsences();
+        logRemovals();
         publishIfChanged(changed);
     }
 
@@ -90,7 +90,7 @@
 
     void tick() {
         boolean changed = membership.expire(clock.nanos());
-        logAbsences();
+        logRemovals();
         publishIfChanged(changed);
     }
 
@@ -137,7 +137,7 @@
         difference(before, leaving).forEach(LogEvent.UPSTREAM_RETURNED::info);
     }
 
-    private void logAbsences() {
+    private void logRemovals() {
         Map<UpstreamId, Absence> absentBefore = absences;
         Set<UpstreamId> knownBefore = known;
         absences = membership.absences();
@@ -163,7 +163,7 @@
     private static String removalLabel(Absence absence) {
         return absence.doubtful()
                 ? "unless it is listed again soon, since many disappeared after the source was away"
-                : "after the hold time";
+                : "after the hold time, or when a connection to it fails";
     }
 
     private void announceLeaving(UpstreamId upstream) {
