--- a/core/src/main/java/org/sardinepost/core/membership/DisturbanceDetector.java
+++ b/core/src/main/java/org/sardinepost/core/membership/DisturbanceDetector.java
@@ -70,7 +70,7 @@
         if (silentNanos < MIN_OUTAGE.toNanos()) {
             return Optional.empty();
         }
-        record(respondedNanos);
+        lastDisturbedNanos = Optional.of(respondedNanos);
         return Optional.of(Duration.ofNanos(silentNanos));
     }
 
@@ -87,7 +87,7 @@
         if (known || respondedBetween(disturbedNanos - MIN_OUTAGE.toNanos(), disturbedNanos - REPORT_DELAY.toNanos())) {
             return false;
         }
-        record(disturbedNanos);
+        lastDisturbedNanos = Optional.of(disturbedNanos);
         return true;
     }
 
@@ -99,8 +99,4 @@
     private boolean respondedBetween(long startNanos, long endNanos) {
         return recentResponses.stream().anyMatch(responded -> responded - startNanos > 0 && endNanos - responded > 0);
     }
-
-    private void record(long disturbedNanos) {
-        lastDisturbedNanos = Optional.of(disturbedNanos);
-    }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/MembershipController.java
@@ -51,9 +51,7 @@
             return;
         }
         vmListRead = true;
-        boolean changed = membership.applyList(result.value().get(), value.revision(), clock.nanos());
-        logRemovals();
-        publishIfChanged(changed);
+        publishIfChanged(membership.applyList(result.value().get(), value.revision(), clock.nanos()));
     }
 
     /** Records that a process said in a response to this daemon that it is leaving. */
@@ -67,9 +65,7 @@
     }
 
     void connectionFailed(UpstreamId upstream, boolean refused) {
-        boolean changed = membership.connectionFailed(upstream, refused, clock.nanos());
-        logRemovals();
-        publishIfChanged(changed);
+        publishIfChanged(membership.connectionFailed(upstream, refused, clock.nanos()));
     }
 
     /** Applies the leaving marks in a load batch from a peer. */
@@ -89,9 +85,7 @@
     }
 
     void tick() {
-        boolean changed = membership.expire(clock.nanos());
-        logRemovals();
-        publishIfChanged(changed);
+        publishIfChanged(membership.expire(clock.nanos()));
     }
 
     Map<String, List<Upstream>> upstreamsByService() {
@@ -130,6 +124,7 @@
         if (!changed) {
             return;
         }
+        logRemovals();
         Set<UpstreamId> before = leaving;
         leaving = membership.leavingUpstreams();
         onChange.run();
@@ -137,6 +132,7 @@
         difference(before, leaving).forEach(LogEvent.UPSTREAM_RETURNED::info);
     }
 
+    /** Logs the upstreams that disappeared from the list, came back, or were removed since the last change. */
     private void logRemovals() {
         Map<UpstreamId, Absence> absentBefore = absences;
         Set<UpstreamId> knownBefore = known;
