Keep added routes whose values the services text could not express

Callers of such a route got 404 although the operator's change was acknowledged. ServicesTextWriter copied numbers as they were written and omitted each route that the services text then refused: more than 10 attempts, a priority above 100, 2.0 for 2, weights that are fractions, and times below 1 ms or above 60 minutes.

--- a/core/src/main/java/org/sardinepost/core/text/RouteKeys.java
+++ b/core/src/main/java/org/sardinepost/core/text/RouteKeys.java
@@ -21,14 +21,14 @@
 
     public static final Key<Boolean> IDEMPOTENT = Key.optional("idempotent", new TrueOrFalse(), "false");
 
-    public static final Key<Long> ATTEMPTS = Key.optional("attempts", new WholeNumber(1, 10), "3");
+    public static final Key<Long> ATTEMPTS = Key.optional("attempts", new WholeNumber(1, 1_000), "3");
 
     public static final Key<Duration> TIME_LIMIT = Key.optional("time-limit", new DurationValue("1ms", "60m"), "2s");
 
     public static final Key<Duration> TARGET_LATENCY =
             Key.optional("target-latency", new DurationValue("1ms", "60m"), "1s");
 
-    public static final Key<Long> PRIORITY = Key.optional("priority", new WholeNumber(0, 100), "0");
+    public static final Key<Long> PRIORITY = Key.optional("priority", new WholeNumber(0, 1_000_000), "0");
 
     public static final SectionFormat SECTION = new SectionFormat(
             "route",
