Check only the changed sections of a services text

A change of one route made each daemon apply all rules to all sections, which on a machine with 0.3 of a core delays calls. Rules that look at one section at a time now skip the sections that the previous, valid text contained.

--- a/core/src/main/java/org/sardinepost/core/ini/FileFormat.java
+++ b/core/src/main/java/org/sardinepost/core/ini/FileFormat.java
@@ -10,6 +10,11 @@
     }
 
     public Optional<SectionFormat> formatOf(IniSection section) {
-        return sections.stream().filter(format -> format.matches(section)).findFirst();
+        for (SectionFormat format : sections) {
+            if (format.matches(section)) {
+                return Optional.of(format);
+            }
+        }
+        return Optional.empty();
     }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/IniDocument.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniDocument.java
@@ -3,11 +3,25 @@
 import java.util.List;
 import java.util.Optional;
 
-/** The sections of an INI file in file order, including duplicates, which rules report. */
-public record IniDocument(String file, List<IniSection> sections, List<MalformedLine> malformedLines) {
+/**
+ * The sections of an INI file in file order, including duplicates, which rules report.
+ *
+ * @param changedSections the sections without an equal one in the previous document, if that was valid; otherwise all
+ */
+public record IniDocument(
+        String file,
+        List<IniSection> sections,
+        List<MalformedLine> malformedLines,
+        List<IniSection> changedSections) {
     public IniDocument {
         sections = List.copyOf(sections);
         malformedLines = List.copyOf(malformedLines);
+        changedSections = List.copyOf(changedSections);
+    }
+
+    /** Returns the document without the sections that were valid in the previous document. */
+    IniDocument withChangedSectionsOnly() {
+        return new IniDocument(file, changedSections, malformedLines, changedSections);
     }
 
     /** Returns the first section with the given name. */
--- a/core/src/main/java/org/sardinepost/core/ini/IniParser.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniParser.java
@@ -19,6 +19,7 @@
     private static final Problem QUOTED_VALUE = new Problem("the value is quoted", "write it without quotation marks");
 
     private final List<IniSection> sections = new ArrayList<>();
+    private final List<IniSection> changedSections = new ArrayList<>();
     private final List<MalformedLine> malformedLines = new ArrayList<>();
     private String sectionName = "";
     private int headerLine;
@@ -44,7 +45,7 @@
             parser.parseLine(line.trim(), lineNumber);
         }
         parser.finishSection();
-        return new IniDocument(file, parser.sections, parser.malformedLines);
+        return new IniDocument(file, parser.sections, parser.malformedLines, parser.changedSections);
     }
 
     /** Returns whether the text, which must be trimmed, is a comment. */
@@ -83,7 +84,12 @@
         if (beforeFirstHeader && rawEntries.isEmpty()) {
             return;
         }
-        sections.add(new IniSection(sectionName, Math.max(1, headerLine), SectionValueReader.read(rawEntries, cache)));
+        SectionValueReader.ReadSection read = SectionValueReader.read(sectionName, rawEntries, cache);
+        IniSection section = new IniSection(sectionName, Math.max(1, headerLine), read.entries());
+        sections.add(section);
+        if (!read.wasValid()) {
+            changedSections.add(section);
+        }
     }
 
     private static Optional<Problem> findEntryProblem(String line) {
--- a/core/src/main/java/org/sardinepost/core/ini/IniValue.java
+++ b/core/src/main/java/org/sardinepost/core/ini/IniValue.java
@@ -18,7 +18,7 @@
 
     @SuppressWarnings("unchecked") // the cached result was produced by an equal type
     <T> Parsed<T> parse(ValueType<T> type) {
-        if (!type.equals(cachedType)) {
+        if (type != cachedType && !type.equals(cachedType)) {
             cachedType = type;
             cachedResult = type.parse(text);
         }
--- a/core/src/main/java/org/sardinepost/core/ini/SectionFormat.java
+++ b/core/src/main/java/org/sardinepost/core/ini/SectionFormat.java
@@ -29,7 +29,12 @@
     }
 
     public Optional<Key<?>> key(String name) {
-        return keys.stream().filter(key -> key.name().equals(name)).findFirst();
+        for (Key<?> key : keys) {
+            if (key.name().equals(name)) {
+                return Optional.of(key);
+            }
+        }
+        return Optional.empty();
     }
 
     /** Returns the syntax of the header, with {@code NAME} as placeholder for the name. */
--- a/core/src/main/java/org/sardinepost/core/ini/SectionValueReader.java
+++ b/core/src/main/java/org/sardinepost/core/ini/SectionValueReader.java
@@ -2,11 +2,11 @@
 
 import java.io.IOException;
 import java.io.StringReader;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 
@@ -20,19 +20,28 @@
     private SectionValueReader() {}
 
     /** Returns the entries with their final values; entries with a repeated key all get the first value. */
-    static List<IniEntry> read(List<IniEntry> rawEntries, ValueCache cache) {
-        String lines = rawEntries.stream()
-                .map(entry -> entry.key() + "=" + entry.value())
-                .collect(Collectors.joining("\n"));
-        List<IniValue> values = cache.values(lines, unused -> read(rawEntries));
-        return IntStream.range(0, values.size())
-                .mapToObj(index -> withValue(rawEntries.get(index), values.get(index)))
-                .toList();
+    static ReadSection read(String name, List<IniEntry> rawEntries, ValueCache cache) {
+        StringBuilder section = new StringBuilder(256).append(name);
+        for (IniEntry entry : rawEntries) {
+            section.append('\n').append(entry.key()).append('=').append(entry.value());
+        }
+        String key = section.toString();
+        boolean wasValid = cache.wasValid(key);
+        List<IniValue> values = cache.values(key, () -> read(rawEntries));
+        List<IniEntry> entries = new ArrayList<>(values.size());
+        for (int i = 0; i < values.size(); i++) {
+            IniEntry rawEntry = rawEntries.get(i);
+            entries.add(new IniEntry(rawEntry.key(), values.get(i), rawEntry.line()));
+        }
+        return new ReadSection(entries, wasValid);
     }
 
-    private static IniEntry withValue(IniEntry entry, IniValue value) {
-        return new IniEntry(entry.key(), value, entry.line());
-    }
+    /**
+     * The values of a section.
+     *
+     * @param wasValid whether the previous document was valid and contained an equal section
+     */
+    record ReadSection(List<IniEntry> entries, boolean wasValid) {}
 
     private static List<IniValue> read(List<IniEntry> rawEntries) {
         boolean plain = rawEntries.stream().map(IniEntry::value).allMatch(PlainValue::matches);
--- a/core/src/main/java/org/sardinepost/core/ini/ValidatingReader.java
+++ b/core/src/main/java/org/sardinepost/core/ini/ValidatingReader.java
@@ -33,13 +33,16 @@
             return ValidationResult.failure(List.of(textFinding.get()));
         }
         IniDocument document = IniParser.parse(file, content, cache);
+        IniDocument changed = document.withChangedSectionsOnly();
         List<Finding> findings = rules.stream()
-                .flatMap(rule -> rule.check(document).stream())
+                .flatMap(rule -> rule.check(rule.checksSectionsSeparately() ? changed : document).stream())
                 .sorted(Comparator.comparingInt(Finding::line))
                 .toList();
-        return findings.isEmpty()
-                ? ValidationResult.success(converter.apply(document))
-                : ValidationResult.failure(truncate(file, findings));
+        if (!findings.isEmpty()) {
+            return ValidationResult.failure(truncate(file, findings));
+        }
+        cache.documentIsValid();
+        return ValidationResult.success(converter.apply(document));
     }
 
     /** Returns the rules that apply to the content of a file before it is parsed. */
--- a/core/src/main/java/org/sardinepost/core/ini/ValueCache.java
+++ b/core/src/main/java/org/sardinepost/core/ini/ValueCache.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Caches the values of sections that are unchanged from one document to the next.
@@ -14,16 +14,34 @@
 public final class ValueCache {
     private Map<String, List<IniValue>> previousDocument = new HashMap<>();
     private Map<String, List<IniValue>> currentDocument = new HashMap<>();
+    private boolean previousDocumentValid;
+    private boolean currentDocumentValid;
 
     /** Discards the values that the previous document did not use. */
     void startDocument() {
         previousDocument = currentDocument;
         currentDocument = new HashMap<>();
+        previousDocumentValid = currentDocumentValid;
+        currentDocumentValid = false;
     }
 
-    /** Returns the cached values of a section with the same lines, or else reads them. */
-    List<IniValue> values(String lines, Function<String, List<IniValue>> reader) {
-        List<IniValue> cached = previousDocument.get(lines);
-        return currentDocument.computeIfAbsent(lines, key -> cached != null ? cached : reader.apply(key));
+    /** Records that the current document violates no rule. */
+    void documentIsValid() {
+        currentDocumentValid = true;
+    }
+
+    /** Returns whether the previous document was valid and contained this section. */
+    boolean wasValid(String section) {
+        return previousDocumentValid && previousDocument.containsKey(section);
+    }
+
+    /**
+     * Returns the cached values of an equal section, or else reads them.
+     *
+     * @param section the name and the lines of the section
+     */
+    List<IniValue> values(String section, Supplier<List<IniValue>> reader) {
+        List<IniValue> cached = previousDocument.get(section);
+        return currentDocument.computeIfAbsent(section, key -> cached != null ? cached : reader.get());
     }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/rules/KeyNames.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeyNames.java
@@ -1,11 +1,13 @@
 package org.sardinepost.core.ini.rules;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.sardinepost.core.ini.FileFormat;
 import org.sardinepost.core.ini.Finding;
 import org.sardinepost.core.ini.IniDocument;
+import org.sardinepost.core.ini.IniEntry;
 import org.sardinepost.core.ini.IniSection;
 import org.sardinepost.core.ini.Key;
 import org.sardinepost.core.ini.Rule;
@@ -25,16 +27,28 @@
 
     @Override
     public List<Finding> check(IniDocument document) {
-        return document.sections().stream()
-                .flatMap(section -> format.formatOf(section).stream()
-                        .flatMap(sectionFormat -> unknownKeys(document, section, sectionFormat)))
-                .toList();
+        List<Finding> findings = new ArrayList<>();
+        for (IniSection section : document.sections()) {
+            Optional<SectionFormat> sectionFormat = format.formatOf(section);
+            if (sectionFormat.isPresent()) {
+                addUnknownKeys(findings, document, section, sectionFormat.get());
+            }
+        }
+        return findings;
     }
 
-    private static Stream<Finding> unknownKeys(IniDocument document, IniSection section, SectionFormat format) {
-        return section.entries().stream()
-                .filter(entry -> format.key(entry.key()).isEmpty())
-                .map(entry -> document.finding(section, entry, "the key is unknown", remedy(format)));
+    @Override
+    public boolean checksSectionsSeparately() {
+        return true;
+    }
+
+    private static void addUnknownKeys(
+            List<Finding> findings, IniDocument document, IniSection section, SectionFormat format) {
+        for (IniEntry entry : section.entries()) {
+            if (format.key(entry.key()).isEmpty()) {
+                findings.add(document.finding(section, entry, "the key is unknown", remedy(format)));
+            }
+        }
     }
 
     private static String remedy(SectionFormat format) {
--- a/core/src/main/java/org/sardinepost/core/ini/rules/KeyValues.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeyValues.java
@@ -1,12 +1,14 @@
 package org.sardinepost.core.ini.rules;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.Stream;
+import java.util.Optional;
 import org.sardinepost.core.ini.FileFormat;
 import org.sardinepost.core.ini.Finding;
 import org.sardinepost.core.ini.IniDocument;
 import org.sardinepost.core.ini.IniEntry;
 import org.sardinepost.core.ini.IniSection;
+import org.sardinepost.core.ini.Key;
 import org.sardinepost.core.ini.Problem;
 import org.sardinepost.core.ini.Rule;
 import org.sardinepost.core.ini.SectionFormat;
@@ -25,17 +27,31 @@
 
     @Override
     public List<Finding> check(IniDocument document) {
-        return document.sections().stream()
-                .flatMap(
-                        section -> format.formatOf(section).stream().flatMap(sectionFormat -> section.entries().stream()
-                                .flatMap(entry -> invalidValues(document, section, entry, sectionFormat))))
-                .toList();
+        List<Finding> findings = new ArrayList<>();
+        for (IniSection section : document.sections()) {
+            Optional<SectionFormat> sectionFormat = format.formatOf(section);
+            if (sectionFormat.isPresent()) {
+                addInvalidValues(findings, document, section, sectionFormat.get());
+            }
+        }
+        return findings;
     }
 
-    private static Stream<Finding> invalidValues(
-            IniDocument document, IniSection section, IniEntry entry, SectionFormat format) {
-        return format.key(entry.key()).stream()
-                .flatMap(key -> entry.parse(key.type()).problems().stream())
-                .map((Problem problem) -> document.finding(section, entry, problem.message(), problem.remedy()));
+    @Override
+    public boolean checksSectionsSeparately() {
+        return true;
+    }
+
+    private static void addInvalidValues(
+            List<Finding> findings, IniDocument document, IniSection section, SectionFormat format) {
+        for (IniEntry entry : section.entries()) {
+            Optional<Key<?>> key = format.key(entry.key());
+            if (key.isEmpty()) {
+                continue;
+            }
+            for (Problem problem : entry.parse(key.get().type()).problems()) {
+                findings.add(document.finding(section, entry, problem.message(), problem.remedy()));
+            }
+        }
     }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/rules/KeysPresent.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeysPresent.java
@@ -30,6 +30,11 @@
                 .toList();
     }
 
+    @Override
+    public boolean checksSectionsSeparately() {
+        return true;
+    }
+
     private static Stream<Finding> missingKeys(IniDocument document, IniSection section, SectionFormat format) {
         return format.keys().stream()
                 .filter(Key::required)
--- a/core/src/main/java/org/sardinepost/core/ini/rules/KeysUnique.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeysUnique.java
@@ -23,6 +23,11 @@
                 .toList();
     }
 
+    @Override
+    public boolean checksSectionsSeparately() {
+        return true;
+    }
+
     private static List<Finding> duplicates(IniDocument document, IniSection section) {
         Map<String, IniEntry> firstByKey = new HashMap<>();
         List<Finding> findings = new ArrayList<>();
--- a/core/src/main/java/org/sardinepost/core/ini/rules/SectionNames.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/SectionNames.java
@@ -29,6 +29,11 @@
                 .toList();
     }
 
+    @Override
+    public boolean checksSectionsSeparately() {
+        return true;
+    }
+
     private static String message(IniSection section) {
         return section.name().isEmpty() ? "there are entries without a section" : "the section is unknown";
     }
--- a/core/src/test/java/org/sardinepost/core/ini/PlainValueTest.java
+++ b/core/src/test/java/org/sardinepost/core/ini/PlainValueTest.java
@@ -30,7 +30,7 @@
         for (int i = 0; i < values.size(); i++) {
             entries.add(new IniEntry("key-" + i % 3, values.get(i), i));
         }
-        List<String> read = SectionValueReader.read(entries, new ValueCache()).stream()
+        List<String> read = SectionValueReader.read("section", entries, new ValueCache()).entries().stream()
                 .map(IniEntry::value)
                 .toList();
 
