Try a kind of call again that was refused for its service time

CentralDispatcher refuses a call whose remaining time is below 40% of the typical service time of its kind, and only responses update that time. If all callers of a kind then have less time than that, for example because the operator shortened its time limit after its servers were slow, each of them is refused, no response arrives, and the kind stays refused.

Change: a kind without a response for a second gets one trial call per second. Callers of servers that remain slow are still refused at once, apart from these trials.

--- a/core/src/main/java/org/sardinepost/core/admission/ServiceTimeAverage.java
+++ b/core/src/main/java/org/sardinepost/core/admission/ServiceTimeAverage.java
@@ -11,13 +11,24 @@
 
     private double meanLog;
     private int samples;
+    private long updatedNanos;
 
-    void recordResponse(long durationNanos) {
+    void recordResponse(long durationNanos, long nowNanos) {
+        updatedNanos = nowNanos;
         samples++;
         double logSample = Math.log((double) Math.max(1, durationNanos));
         meanLog += Math.max(SMOOTHING, 1.0 / samples) * (logSample - meanLog);
     }
 
+    void trialStarted(long nowNanos) {
+        updatedNanos = nowNanos;
+    }
+
+    /** Returns the time of the last response or trial call. */
+    long updatedNanos() {
+        return updatedNanos;
+    }
+
     int samples() {
         return samples;
     }
--- a/core/src/main/java/org/sardinepost/core/admission/ServiceTimeEstimator.java
+++ b/core/src/main/java/org/sardinepost/core/admission/ServiceTimeEstimator.java
@@ -1,5 +1,6 @@
 package org.sardinepost.core.admission;
 
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -16,6 +17,9 @@
     /** Means of fewer responses are not reliable. */
     private static final int MIN_SAMPLES = 5;
 
+    /** A kind without a response for this long, although it is called, may have become faster. */
+    private static final long TRIAL_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
+
     /** Adapts to a change in the mix of kinds within about 50 calls. */
     private static final double SMOOTHING = 0.04;
 
@@ -30,8 +34,8 @@
     private double meanNanos;
     private int samples;
 
-    public void recordResponse(String kind, long durationNanos) {
-        byKind.computeIfAbsent(kind, key -> new ServiceTimeAverage()).recordResponse(durationNanos);
+    public void recordResponse(String kind, long durationNanos, long nowNanos) {
+        byKind.computeIfAbsent(kind, key -> new ServiceTimeAverage()).recordResponse(durationNanos, nowNanos);
         samples++;
         meanNanos += Math.max(SMOOTHING, 1.0 / samples) * (durationNanos - meanNanos);
     }
@@ -42,6 +46,20 @@
         return average == null || average.samples() < MIN_SAMPLES ? 0 : average.meanNanos();
     }
 
+    /**
+     * Returns whether a call may be sent although the typical service time is too long for it. Without trials, a kind
+     * whose calls are all refused for their service time would never get a response that corrects it.
+     */
+    public boolean trialDue(String kind, long nowNanos) {
+        ServiceTimeAverage average = byKind.get(kind);
+        return average != null && nowNanos - average.updatedNanos() >= TRIAL_INTERVAL_NANOS;
+    }
+
+    /** Records that a trial call was sent, which delays the next one. */
+    public void trialStarted(String kind, long nowNanos) {
+        byKind.get(kind).trialStarted(nowNanos);
+    }
+
     /**
      * Returns the mean over all calls, which determines how many slots become free per second; 0 until a call gets a
      * response.
--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -76,12 +76,16 @@
         List<Upstream> toProbe;
         DeferredCompletions completions = new DeferredCompletions();
         synchronized (this) {
-            if (QueueAdmissionPolicy.cannotMeetDeadline(request, typicalNanos(request), nowNanos)) {
+            boolean tooSlow = QueueAdmissionPolicy.cannotMeetDeadline(request, typicalNanos(request), nowNanos);
+            if (tooSlow && !trialDue(request, nowNanos)) {
                 return CompletableFuture.failedFuture(deadlineTooShort(request, nowNanos));
             }
             if (callsAhead(request, nowNanos) == 0) {
                 Optional<UpstreamState> state = selectUpstream(call, nowNanos, nowNanos);
                 if (state.isPresent()) {
+                    if (tooSlow) {
+                        serviceTimes.trialStarted(request.kind(), nowNanos);
+                    }
                     return CompletableFuture.completedFuture(grant(state.get(), request, nowNanos));
                 }
             }
@@ -114,6 +118,11 @@
         return selector.select(states.values(), request, selectionContext(request, nowNanos), assumeNormalSpeed);
     }
 
+    /** Returns whether to send a call for which the typical service time is too long, in case that it has changed. */
+    private boolean trialDue(DispatchRequest request, long nowNanos) {
+        return request.deadlineNanos() - nowNanos > 0 && serviceTimes.trialDue(request.kind(), nowNanos);
+    }
+
     private void sendProbes(List<Upstream> upstreams) {
         probe.ifPresent(loadProbe -> upstreams.forEach(loadProbe::send));
     }
@@ -355,7 +364,7 @@
                 recordOutcome(dispatch, result, nowNanos);
             }
             if (result.kind() == DispatchResult.Kind.ANSWERED) {
-                serviceTimes.recordResponse(dispatch.request.kind(), nowNanos - dispatch.startNanos);
+                serviceTimes.recordResponse(dispatch.request.kind(), nowNanos - dispatch.startNanos, nowNanos);
                 state.idleConnections.release(dispatch.request.origin().daemon(), nowNanos);
             }
             if (result.leaving()) {
--- a/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
@@ -367,4 +367,72 @@
             assertThat(callsOnAdded(6_000)).isAtLeast(1);
         }
     }
+
+    /** Guards against a kind of call that stays refused after its upstreams have become fast again. */
+    @Nested
+    class KindRefusedForItsServiceTime {
+        private final CentralDispatcher dispatcher =
+                new CentralDispatcher(DispatcherSettings.of(3, "a"), new SplittableRandom(1), Optional.empty());
+        private long now = 1_000 * MILLIS;
+
+        private CompletableFuture<Dispatch> call(long deadlineMillis) {
+            long deadline = now + deadlineMillis * MILLIS;
+            return dispatcher.acquire(
+                    new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, Origin.unknown(), "route"), now);
+        }
+
+        /** Sends a call every 20 ms; each that is not refused gets its response after the service time. */
+        private int refused(long millis, long deadlineMillis, long serviceMillis) {
+            int refused = 0;
+            for (long end = now + millis * MILLIS; now < end; now += 20 * MILLIS) {
+                CompletableFuture<Dispatch> dispatch = call(deadlineMillis);
+                if (dispatch.isCompletedExceptionally()) {
+                    refused++;
+                } else {
+                    dispatch.join()
+                            .complete(DispatchResult.of(DispatchResult.Kind.ANSWERED), now + serviceMillis * MILLIS);
+                }
+            }
+            return refused;
+        }
+
+        private void slowDown() {
+            dispatcher.setUpstreams(List.of(new Upstream(new UpstreamId("10.0.0.1", 80), "a")), now);
+            refused(2_000, 10_000, 3_000);
+            // Upstreams respond within 160 ms again, but by now all callers have a deadline of a second.
+            now += 3_000 * MILLIS;
+        }
+
+        @Test
+        void isServedAgainWhenUpstreamsAreFast() {
+            slowDown();
+            refused(60_000, 1_000, 160);
+
+            assertThat(refused(5_000, 1_000, 160)).isEqualTo(0);
+        }
+
+        @Test
+        void getsOneTrialCallInASecondWhileUpstreamsAreSlow() {
+            slowDown();
+            int trials = 0;
+            for (long end = now + 10_000 * MILLIS; now < end; now += 20 * MILLIS) {
+                CompletableFuture<Dispatch> dispatch = call(1_000);
+                if (!dispatch.isCompletedExceptionally()) {
+                    trials++;
+                    dispatch.join()
+                            .complete(DispatchResult.of(DispatchResult.Kind.FAILED), now + 1_000 * MILLIS);
+                }
+            }
+
+            assertThat(trials).isAtLeast(5);
+            assertThat(trials).isAtMost(10);
+        }
+
+        @Test
+        void isRefusedAfterItsDeadline() {
+            slowDown();
+
+            assertThat(call(0).isCompletedExceptionally()).isTrue();
+        }
+    }
 }
