Place calls on daemons with ample capacity and wait as long as they take

Cause: rendezvous hashing gives the coordination of a service, and the reading of the store, to any daemon, mostly to one with 0.3 of a core. The load of this role grows with the fleet. A daemon waits 40 ms for its coordinator, then dispatches the call on its own and without knowing which hosts are slowed down; the response that arrives later makes it ask the same coordinator again.

Ruled out: refusals (none of 1,283), too few upstreams, a change of the configuration (the first came later).

Change: daemons tell their processor capacity in their Hello; those with at least half of the largest capacity come first in each role (RoleOrder). The wait for a coordinator follows its response times, up to a quarter of the time to the target (AdaptiveTimeout). On VMs of equal size nothing changes but the wait. New settings cpu-share and cpu-speed. Peers of an earlier release count as one core.

--- a/core/src/main/java/org/sardinepost/core/settings/DaemonKeys.java
+++ b/core/src/main/java/org/sardinepost/core/settings/DaemonKeys.java
@@ -8,6 +8,7 @@
 import org.sardinepost.core.ini.values.Choice;
 import org.sardinepost.core.ini.values.DurationValue;
 import org.sardinepost.core.ini.values.Name;
+import org.sardinepost.core.ini.values.PositiveDecimal;
 import org.sardinepost.core.routing.UpstreamId;
 
 /** The keys of the {@code [daemon]} section, which describes the daemon itself. */
@@ -26,11 +27,24 @@
 
     public static final Key<PlacementMode> PLACEMENT = Key.optional("placement", Choice.of(PlacementMode.class), "own");
 
+    public static final Key<Double> CPU_SHARE = Key.optional("cpu-share", new PositiveDecimal(), "1");
+
+    public static final Key<Double> CPU_SPEED = Key.optional("cpu-speed", new PositiveDecimal(), "1");
+
     public static final SectionFormat SECTION = new SectionFormat(
             "daemon",
             false,
             true,
-            List.of(CALLER_ADDRESS, ADMIN_ADDRESS, PEER_ADDRESS, FAILURE_DOMAIN, REGION, DRAIN_WAIT, PLACEMENT));
+            List.of(
+                    CALLER_ADDRESS,
+                    ADMIN_ADDRESS,
+                    PEER_ADDRESS,
+                    FAILURE_DOMAIN,
+                    REGION,
+                    DRAIN_WAIT,
+                    PLACEMENT,
+                    CPU_SHARE,
+                    CPU_SPEED));
 
     private DaemonKeys() {}
 }
--- a/core/src/main/java/org/sardinepost/core/settings/DaemonSettings.java
+++ b/core/src/main/java/org/sardinepost/core/settings/DaemonSettings.java
@@ -22,6 +22,7 @@
     private final String region;
     private final Duration drainWait;
     private final PlacementMode placement;
+    private final double processorCapacity;
     private final Source configuration;
     private final Source vms;
     private final Optional<Duration> absentHold;
@@ -41,6 +42,7 @@
         this.region = Objects.requireNonNull(builder.region);
         this.drainWait = builder.drainWait;
         this.placement = builder.placement;
+        this.processorCapacity = builder.processorCapacity;
         this.configuration = Objects.requireNonNull(builder.configuration);
         this.vms = builder.vms;
         this.absentHold = builder.absentHold;
@@ -89,6 +91,11 @@
         return placement;
     }
 
+    /** Returns the processor capacity of the daemon, in cores of normal speed. */
+    public double processorCapacity() {
+        return processorCapacity;
+    }
+
     public Source configuration() {
         return configuration;
     }
@@ -147,6 +154,7 @@
         private String region;
         private Duration drainWait = DEFAULT_DRAIN_WAIT;
         private PlacementMode placement = PlacementMode.OWN;
+        private double processorCapacity = 1;
         private Source configuration;
         private Source vms = Source.none();
         private Optional<Duration> absentHold = Optional.empty();
@@ -190,6 +198,11 @@
             return this;
         }
 
+        public Builder processorCapacity(double value) {
+            this.processorCapacity = value;
+            return this;
+        }
+
         public Builder placement(PlacementMode value) {
             this.placement = value;
             return this;
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -93,7 +93,7 @@
         heldIncarnations = new HeldIncarnations(incarnation);
         transport = new PeerTransport(this::localHello, listener(), counters, builder.timings, random);
         ByteBudget budget = new ByteBudget(loadBytesPerSecond(builder), clock.nanos());
-        peers = new PeerTable(this::peerAddress, transport::connect, budget, clock);
+        peers = new PeerTable(this::peerAddress, settings.processorCapacity(), transport::connect, budget, clock);
         discovery = new PeerDiscovery(peers);
         configuration = new ConfigurationController(
                 this::peerAddress,
@@ -401,6 +401,7 @@
                 .setFailureDomain(settings.failureDomain())
                 .setRegion(settings.region())
                 .addAllHeldIncarnations(heldIncarnations.all())
+                .setProcessorCapacity(settings.processorCapacity())
                 .build();
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/PeerTable.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/PeerTable.java
@@ -13,6 +13,8 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.sardinepost.core.membership.RoleCandidate;
+import org.sardinepost.core.membership.RoleOrder;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.daemon.placement.PlacementPeers;
 import org.sardinepost.peer.PeerClient;
@@ -37,18 +39,21 @@
     private final ByteBudget budget;
     private final Clock clock;
     private final Map<UpstreamId, Peer> peers = new HashMap<>();
+    private final double ownCapacity;
     private Set<UpstreamId> listed = Set.of();
     private volatile Map<Long, String> callerAddressByIncarnation = Map.of();
     private volatile Map<UpstreamId, PeerClient> connectedClients = Map.of();
-    private volatile List<UpstreamId> activeAddresses = List.of();
+    private volatile List<RoleCandidate> activeDaemons = List.of();
     private volatile boolean stopping;
 
     PeerTable(
             Supplier<UpstreamId> ownAddress,
+            double ownCapacity,
             Function<UpstreamId, PeerClient> connector,
             ByteBudget budget,
             Clock clock) {
         this.ownAddress = ownAddress;
+        this.ownCapacity = ownCapacity;
         this.connector = connector;
         this.budget = budget;
         this.clock = clock;
@@ -136,8 +141,27 @@
     }
 
     @Override
-    public List<UpstreamId> activeAddresses() {
-        return activeAddresses;
+    public List<RoleCandidate> activeDaemons() {
+        return activeDaemons;
+    }
+
+    /** Returns the number of active peers that take on a role of the fleet before this daemon. */
+    int rank(long roleKey) {
+        List<RoleCandidate> others =
+                activePeers().stream().map(PeerTable::candidate).toList();
+        return RoleOrder.rank(localCandidate(), others, roleKey);
+    }
+
+    private RoleCandidate localCandidate() {
+        return new RoleCandidate(ownAddress.get(), ownCapacity);
+    }
+
+    private static RoleCandidate candidate(Peer peer) {
+        double capacity = peer.hello()
+                .map(Hello::getProcessorCapacity)
+                .filter(told -> told > 0)
+                .orElse(RoleCandidate.DEFAULT_CAPACITY);
+        return new RoleCandidate(peer.address(), capacity);
     }
 
     @Override
@@ -186,12 +210,12 @@
         peers.values().stream().filter(peer -> !peer.stopping()).forEach(peer -> addHeldIncarnations(addresses, peer));
         callerAddressByIncarnation = Map.copyOf(addresses);
         connectedClients = connected().stream().collect(Collectors.toUnmodifiableMap(Peer::address, Peer::client));
-        Stream<UpstreamId> self = stopping ? Stream.empty() : Stream.of(ownAddress.get());
-        List<UpstreamId> active =
-                Stream.concat(self, activePeers().stream().map(Peer::address)).toList();
+        Stream<RoleCandidate> self = stopping ? Stream.empty() : Stream.of(localCandidate());
+        List<RoleCandidate> active = Stream.concat(self, activePeers().stream().map(PeerTable::candidate))
+                .toList();
         // Readers derive state from the list and recognize a change by its identity.
-        if (!active.equals(activeAddresses)) {
-            activeAddresses = active;
+        if (!active.equals(activeDaemons)) {
+            activeDaemons = active;
         }
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -87,7 +87,7 @@
         if (vmList.isEmpty()) {
             requestStateFromNextPeer();
         }
-        if (readSchedule.due(rank(), now)) {
+        if (readSchedule.due(peers.rank(READER_KEY), now)) {
             read(() -> {}, () -> {});
         }
     }
@@ -185,13 +185,6 @@
         var unused = peers.send(peer, STATE_REQUEST);
     }
 
-    private int rank() {
-        String own = peers.localAddress().toString();
-        return (int) peers.activePeers().stream()
-                .filter(peer -> RendezvousHash.precedes(peer.address().toString(), own, READER_KEY))
-                .count();
-    }
-
     private void handleSnapshot(SourceSnapshot snapshot, long startNanos) {
         readSchedule.completed(startNanos);
         recordResponse(clock.nanos());
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/CoordinatorSelector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/CoordinatorSelector.java
@@ -5,10 +5,12 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.sardinepost.core.membership.RendezvousHash;
+import org.sardinepost.core.membership.RoleCandidate;
+import org.sardinepost.core.membership.RoleOrder;
 import org.sardinepost.core.routing.UpstreamId;
 
 /**
- * Selects the coordinator of a service: the active daemon that rendezvous hashing ranks first for the service.
+ * Selects the coordinator of a service: the first active daemon in the {@link RoleOrder} of the service.
  *
  * <p>A daemon that did not respond is skipped for an exponentially growing time, since a frozen VM keeps its
  * connections open and stays in the list of active daemons. Two daemons may briefly select different coordinators; the
@@ -28,7 +30,7 @@
 
     /** Returns the peer address of the coordinator; this daemon's own address if no other daemon is available. */
     UpstreamId coordinator(String service, long nowNanos) {
-        for (UpstreamId candidate : ranking(service, peers.activeAddresses()).ordered()) {
+        for (UpstreamId candidate : ranking(service, peers.activeDaemons()).ordered()) {
             Backoff backoff = backoffs.get(candidate);
             if (backoff == null || backoff.untilNanos() - nowNanos <= 0) {
                 return candidate;
@@ -38,7 +40,7 @@
     }
 
     /** Ranks the daemons once for each change of the membership, since each call needs the first one. */
-    private Ranking ranking(String service, List<UpstreamId> members) {
+    private Ranking ranking(String service, List<RoleCandidate> members) {
         return rankings.compute(
                 service,
                 (name, previous) -> previous != null && previous.members() == members
@@ -46,9 +48,9 @@
                         : new Ranking(members, ordered(members, RendezvousHash.keyOf(name))));
     }
 
-    private static List<UpstreamId> ordered(List<UpstreamId> members, long key) {
-        return members.stream()
-                .sorted((first, second) -> RendezvousHash.precedes(first.toString(), second.toString(), key) ? -1 : 1)
+    private static List<UpstreamId> ordered(List<RoleCandidate> members, long key) {
+        return RoleOrder.ordered(members, key).stream()
+                .map(RoleCandidate::address)
                 .toList();
     }
 
@@ -74,7 +76,7 @@
      *
      * @param members the list of active daemons, compared by identity
      */
-    private record Ranking(List<UpstreamId> members, List<UpstreamId> ordered) {}
+    private record Ranking(List<RoleCandidate> members, List<UpstreamId> ordered) {}
 
     private record Backoff(long untilNanos, long durationNanos) {}
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementClient.java
@@ -1,5 +1,6 @@
 package org.sardinepost.daemon.placement;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -10,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.sardinepost.core.call.RefusedException;
+import org.sardinepost.core.retry.AdaptiveTimeout;
 import org.sardinepost.core.routing.Dispatch;
 import org.sardinepost.core.routing.DispatchRequest;
 import org.sardinepost.core.routing.DispatchResult;
@@ -20,10 +22,16 @@
 /** Requests dispatches from the coordinators of services. Thread-safe. */
 final class PlacementClient {
     /**
-     * About ten round trips within a region; a coordinator that has not responded by then is frozen, slow or
-     * unreachable.
+     * About ten round trips within a region; a coordinator that usually responds at once and has not done so by then is
+     * frozen or unreachable.
      */
-    private static final long RESPONSE_TIMEOUT_MILLIS = 40;
+    private static final Duration MIN_RESPONSE_TIMEOUT = Duration.ofMillis(40);
+
+    /** Largest fraction of the time to its target that a call waits for a coordinator that usually responds late. */
+    private static final double MAX_WAIT_FRACTION = 0.25;
+
+    /** A response that comes even later shows that the coordinator was frozen or cut off, not how fast it is. */
+    private static final long MAX_RESPONSE_SECONDS = 2;
 
     /**
      * Timeout of a queued call, as a fraction of the time until its deadline; the coordinator refuses the call earlier.
@@ -36,6 +44,9 @@
     private final LongSupplier nanoClock;
     private final AtomicLong lastCall = new AtomicLong();
     private final Map<Long, PendingRequest> pendingByCall = new ConcurrentHashMap<>();
+    private final Map<UpstreamId, AdaptiveTimeout> responseTimeouts = new ConcurrentHashMap<>();
+    /** When the last requests that timed out were sent, to measure the responses to them. */
+    private final Map<Long, Long> sentNanosOfTimedOut = new ConcurrentHashMap<>();
 
     PlacementClient(PlacementPeers peers, CoordinatorSelector selector, Scheduler scheduler, LongSupplier nanoClock) {
         this.peers = peers;
@@ -53,9 +64,9 @@
     CompletableFuture<Dispatch> requestDispatch(
             UpstreamId coordinator, String service, DispatchRequest request, long nowNanos) {
         long call = lastCall.incrementAndGet();
-        PendingRequest pending = new PendingRequest(coordinator, service, call, request);
+        PendingRequest pending = new PendingRequest(coordinator, service, call, request, nowNanos);
         pendingByCall.put(call, pending);
-        pending.restartTimer(RESPONSE_TIMEOUT_MILLIS);
+        pending.restartTimer(responseTimeoutMillis(coordinator, request, nowNanos));
         peers.send(coordinator, PlacementMessageCodec.encodeRequest(call, service, request, nowNanos));
         var unused = pending.future.whenComplete((dispatch, failure) -> removeCompleted(pending));
         return pending.future;
@@ -63,6 +74,7 @@
 
     void handleResponse(UpstreamId coordinator, PlaceAnswer answer) {
         selector.recordResponse(coordinator);
+        recordResponseTime(coordinator, answer.getCall());
         PendingRequest pending = pendingByCall.get(answer.getCall());
         if (pending == null || !pending.coordinator.equals(coordinator)) {
             releaseUnclaimed(coordinator, answer);
@@ -88,8 +100,26 @@
         }
     }
 
+    private long responseTimeoutMillis(UpstreamId coordinator, DispatchRequest request, long nowNanos) {
+        long maxNanos = (long) (MAX_WAIT_FRACTION * (request.targetNanos() - nowNanos));
+        return TimeUnit.NANOSECONDS.toMillis(responseTimeout(coordinator).nanos(maxNanos));
+    }
+
+    private AdaptiveTimeout responseTimeout(UpstreamId coordinator) {
+        return responseTimeouts.computeIfAbsent(coordinator, address -> new AdaptiveTimeout(MIN_RESPONSE_TIMEOUT));
+    }
+
+    /** Records the time of the first response to a request. */
+    private void recordResponseTime(UpstreamId coordinator, long call) {
+        Optional<Long> sentNanos = Optional.ofNullable(pendingByCall.get(call))
+                .map(PendingRequest::takeSentNanos)
+                .orElseGet(() -> Optional.ofNullable(sentNanosOfTimedOut.remove(call)));
+        sentNanos.ifPresent(sent -> responseTimeout(coordinator).recordResponse(nanoClock.getAsLong() - sent));
+    }
+
     /** Fails all requests that are pending at a coordinator whose connection ended. */
     void coordinatorDisconnected(UpstreamId coordinator) {
+        responseTimeouts.remove(coordinator);
         pendingByCall.values().stream()
                 .filter(pending -> pending.coordinator.equals(coordinator))
                 .forEach(pending ->
@@ -121,14 +151,22 @@
         private final String service;
         private final long call;
         private final DispatchRequest request;
+        private final long sentNanos;
         private final CompletableFuture<Dispatch> future = new CompletableFuture<>();
+        private final AtomicBoolean responded = new AtomicBoolean();
         private volatile Scheduler.Task timer = () -> true;
 
-        PendingRequest(UpstreamId coordinator, String service, long call, DispatchRequest request) {
+        PendingRequest(UpstreamId coordinator, String service, long call, DispatchRequest request, long sentNanos) {
             this.coordinator = coordinator;
             this.service = service;
             this.call = call;
             this.request = request;
+            this.sentNanos = sentNanos;
+        }
+
+        /** Returns when the request was sent if this is the first response to it. */
+        Optional<Long> takeSentNanos() {
+            return responded.compareAndSet(false, true) ? Optional.of(sentNanos) : Optional.empty();
         }
 
         void restartTimer(long millis) {
@@ -138,7 +176,7 @@
 
         void extendTimeout() {
             long leftNanos = request.deadlineNanos() - nanoClock.getAsLong();
-            restartTimer(RESPONSE_TIMEOUT_MILLIS
+            restartTimer(MIN_RESPONSE_TIMEOUT.toMillis()
                     + TimeUnit.NANOSECONDS.toMillis((long) (QUEUED_TIMEOUT_FRACTION * leftNanos)));
         }
 
@@ -146,10 +184,19 @@
             if (future.isDone()) {
                 return;
             }
+            if (!responded.get()) {
+                expectLateResponse();
+            }
             // Recorded before the future fails, since its callbacks may select a coordinator for the next call at once.
             selector.recordTimeout(coordinator, nanoClock.getAsLong());
             future.completeExceptionally(new CoordinatorUnavailableException(coordinator));
         }
+
+        private void expectLateResponse() {
+            sentNanosOfTimedOut.put(call, sentNanos);
+            Scheduler.Task unused =
+                    scheduler.schedule(() -> sentNanosOfTimedOut.remove(call), MAX_RESPONSE_SECONDS, TimeUnit.SECONDS);
+        }
     }
 
     private final class RemoteDispatch implements Dispatch {
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sardinepost.core.membership.RendezvousHash;
+import org.sardinepost.core.membership.RoleCandidate;
 import org.sardinepost.core.routing.CentralDispatcher;
 import org.sardinepost.core.routing.ClosedUpstreams;
 import org.sardinepost.core.routing.Dispatch;
@@ -112,6 +113,19 @@
         }
     }
 
+    @Nested
+    class SmallDaemon {
+        @Test
+        void isNotTheCoordinator() throws Exception {
+            coordinator.capacity = 0.3;
+            Dispatch dispatch =
+                    requester.dispatcher.acquire(request(), System.nanoTime()).get(2, TimeUnit.SECONDS);
+
+            assertThat(coordinator.placement.remoteDispatches()).isEqualTo(0);
+            dispatch.complete(DispatchResult.of(DispatchResult.Kind.ANSWERED), System.nanoTime());
+        }
+    }
+
     @Nested
     class CoordinatorWithoutUpstreams {
         /** A coordinator has no upstreams if it started while the source of the VM list was down. */
@@ -232,6 +246,52 @@
         }
     }
 
+    /** Guards against calls that are dispatched without the coordinator because it always responds a little late. */
+    @Nested
+    class SlowCoordinator {
+        @BeforeEach
+        void runTimeouts() {
+            scheduler.suspended = false;
+        }
+
+        private int dispatchedByCoordinator(int calls) throws Exception {
+            int dispatched = 0;
+            for (int i = 0; i < calls; i++) {
+                Dispatch dispatch = requester
+                        .dispatcher
+                        .acquire(request(), System.nanoTime())
+                        .get(2, TimeUnit.SECONDS);
+                dispatched += coordinator.placement.remoteDispatches();
+                dispatch.complete(DispatchResult.of(DispatchResult.Kind.ANSWERED), System.nanoTime());
+                // Without the late response, the coordinator would be skipped for half a second.
+                Thread.sleep(2 * coordinator.responseDelayMillis);
+            }
+            return dispatched;
+        }
+
+        @Test
+        void isWaitedForOnceItsResponseTimeIsKnown() throws Exception {
+            coordinator.responseDelayMillis = 60;
+            dispatchedByCoordinator(3);
+
+            assertThat(dispatchedByCoordinator(10)).isAtLeast(9);
+        }
+
+        @Test
+        void isNotWaitedForLongerThanAQuarterOfTheTimeToTheTarget() throws Exception {
+            coordinator.responseDelayMillis = 700;
+            dispatchedByCoordinator(2);
+            long startNanos = System.nanoTime();
+            long targetNanos = startNanos + TimeUnit.SECONDS.toNanos(1);
+            DispatchRequest request =
+                    new DispatchRequest(targetNanos, 0, 0, Set.of(), targetNanos, 0, Origin.unknown(), "route");
+            requester.dispatcher.acquire(request, startNanos).get(2, TimeUnit.SECONDS);
+
+            assertThat(System.nanoTime() - startNanos)
+                    .isLessThan(Duration.ofMillis(650).toNanos());
+        }
+    }
+
     /** One daemon; messages are handled on the thread that sends them. */
     private final class Node implements PlacementPeers {
         private final UpstreamId address;
@@ -239,6 +299,8 @@
         private final Placement placement;
         private final SharedDispatcher dispatcher;
         private volatile boolean frozen;
+        private volatile double capacity = 1;
+        private volatile long responseDelayMillis;
         private volatile boolean stopping;
 
         Node(UpstreamId address) {
@@ -269,18 +331,24 @@
         }
 
         @Override
-        public List<UpstreamId> activeAddresses() {
+        public List<RoleCandidate> activeDaemons() {
             return nodes.values().stream()
                     .filter(node -> !node.stopping)
-                    .map(node -> node.address)
+                    .map(node -> new RoleCandidate(node.address, node.capacity))
                     .toList();
         }
 
         @Override
         public void send(UpstreamId peer, PeerMessage message) {
             Node receiver = nodes.get(peer);
-            if (!receiver.frozen) {
-                receiver.placement.handleMessage(address, incarnation, message);
+            if (receiver.frozen) {
+                return;
+            }
+            Runnable delivery = () -> receiver.placement.handleMessage(address, incarnation, message);
+            if (responseDelayMillis > 0 && message.hasPlaceAnswer()) {
+                scheduler.schedule(delivery, responseDelayMillis, TimeUnit.MILLISECONDS);
+            } else {
+                delivery.run();
             }
         }
     }
