Compress the sections of a services text that a peer requests

All 118 peers fetch the 214,000 characters from the one daemon that read them, over links of 10 Mbit/s, and that daemon encoded them anew for each peer.

Sections of an earlier release are still read.

--- a/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationExchange.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationExchange.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.sardinepost.core.configuration.AcceptedText;
 import org.sardinepost.core.configuration.CandidateText;
 import org.sardinepost.core.configuration.ConfigurationHolder;
@@ -12,6 +13,8 @@
 import org.sardinepost.core.configuration.TextDigest;
 import org.sardinepost.core.configuration.TextOrigin;
 import org.sardinepost.core.configuration.TextParts;
+import org.sardinepost.core.text.SectionSplitter;
+import org.sardinepost.core.text.TextSection;
 import org.sardinepost.peer.generated.ConfigurationOffer;
 import org.sardinepost.peer.generated.ConfigurationParts;
 import org.sardinepost.peer.generated.ConfigurationRequest;
@@ -31,6 +34,8 @@
     private final PeerTable peers;
     private final Clock clock;
     private Optional<TextTransfer> transfer = Optional.empty();
+    /** After a change, most peers request the same sections. */
+    private Optional<SentParts> lastSent = Optional.empty();
 
     ConfigurationExchange(ConfigurationController configuration, PeerTable peers, Clock clock) {
         this.configuration = configuration;
@@ -79,7 +84,7 @@
         } else if (request.getSectionDigestsCount() == 0) {
             sendSectionDigests(peer, held.get());
         } else {
-            sendSections(peer, held.get(), Digests.fromWire(request.getSectionDigestsList()));
+            sendSections(peer, held.get(), request);
         }
     }
 
@@ -87,7 +92,15 @@
         TextDigest digest = Digests.fromWire(parts.getDigest());
         currentTransfer(peer, digest)
                 .filter(current -> current.digests().isPresent())
-                .ifPresent(current -> assemble(current, parts.getSectionsList()));
+                .ifPresent(current -> assemble(current, () -> sections(parts)));
+    }
+
+    private static List<String> sections(ConfigurationParts parts) {
+        return parts.getSectionsDeflated().isEmpty()
+                ? parts.getSectionsList()
+                : SectionSplitter.split(DeflatedText.inflate(parts.getSectionsDeflated())).stream()
+                        .map(TextSection::content)
+                        .toList();
     }
 
     private void requestBest() {
@@ -120,16 +133,16 @@
         transfer = Optional.of(described);
         Collection<TextDigest> missingDigests = heldParts().missing(digests);
         if (missingDigests.isEmpty()) {
-            assemble(described, List.of());
+            assemble(described, List::of);
         } else {
             sendRequest(peer, offer.digest(), missingDigests);
         }
     }
 
-    private void assemble(TextTransfer current, List<String> sections) {
+    private void assemble(TextTransfer current, Supplier<List<String>> sections) {
         TextParts held = heldParts();
         configuration.offer(
-                () -> TextParts.assemble(current.digests().orElseThrow(), held, sections)
+                () -> TextParts.assemble(current.digests().orElseThrow(), held, sections.get())
                         .map(parts -> new CandidateText(current.offer().revision(), parts.text(), TextOrigin.PEER)),
                 decision -> finishTransfer(current, decision));
     }
@@ -178,11 +191,22 @@
         send(peer, PeerMessage.newBuilder().setConfigurationOffer(offer).build());
     }
 
-    private void sendSections(Peer peer, AcceptedText held, Collection<TextDigest> requested) {
-        ConfigurationParts.Builder parts = ConfigurationParts.newBuilder()
-                .setDigest(ByteString.copyFrom(held.digest().bytes()));
-        requested.forEach(digest -> held.parts().section(digest).ifPresent(parts::addSections));
-        send(peer, PeerMessage.newBuilder().setConfigurationParts(parts).build());
+    private void sendSections(Peer peer, AcceptedText held, ConfigurationRequest request) {
+        if (lastSent.filter(sent -> sent.request().equals(request)).isEmpty()) {
+            lastSent = Optional.of(new SentParts(request, encodeSections(held, request)));
+        }
+        send(peer, lastSent.orElseThrow().message());
+    }
+
+    private static PeerMessage encodeSections(AcceptedText held, ConfigurationRequest request) {
+        StringBuilder sections = new StringBuilder();
+        Digests.fromWire(request.getSectionDigestsList())
+                .forEach(digest -> held.parts().section(digest).ifPresent(sections::append));
+        ConfigurationParts parts = ConfigurationParts.newBuilder()
+                .setDigest(ByteString.copyFrom(held.digest().bytes()))
+                .setSectionsDeflated(DeflatedText.deflate(sections.toString()))
+                .build();
+        return PeerMessage.newBuilder().setConfigurationParts(parts).build();
     }
 
     private void sendRequest(Peer peer, TextDigest digest, Collection<TextDigest> sections) {
@@ -197,4 +221,7 @@
     private void send(Peer peer, PeerMessage message) {
         var unused = peers.send(peer, message);
     }
+
+    /** Sections as they were sent, to send them to further peers without encoding them again. */
+    private record SentParts(ConfigurationRequest request, PeerMessage message) {}
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -269,7 +269,7 @@
 
     private void sendState(Peer peer, VmListText list) {
         SourceState.Builder state = stateMessage(list, readSchedule.ageNanos(clock.nanos()))
-                .setVmListDeflated(SourceStateCodec.compress(list.content()));
+                .setVmListDeflated(DeflatedText.deflate(list.content()));
         var unused =
                 peers.send(peer, PeerMessage.newBuilder().setSourceState(state).build());
     }
