--- a/core/src/main/java/org/sardinepost/core/membership/VmListReader.java
+++ b/core/src/main/java/org/sardinepost/core/membership/VmListReader.java
@@ -4,6 +4,7 @@
 import org.sardinepost.core.ini.IniSection;
 import org.sardinepost.core.ini.ValidatingReader;
 import org.sardinepost.core.ini.ValidationResult;
+import org.sardinepost.core.ini.ValueCache;
 import org.sardinepost.core.ini.values.Address;
 import org.sardinepost.core.routing.UpstreamId;
 
@@ -14,7 +15,12 @@
     private VmListReader() {}
 
     public static ValidationResult<VmList> read(String file, String content) {
-        return ValidatingReader.read(file, content, VmListFormat.RULES, VmListReader::toVmList);
+        return read(file, content, new ValueCache());
+    }
+
+    /** Reads one of successive VM lists and reuses the sections that are unchanged since the previous call. */
+    public static ValidationResult<VmList> read(String file, String content, ValueCache cache) {
+        return ValidatingReader.read(file, content, VmListFormat.RULES, VmListReader::toVmList, cache);
     }
 
     private static VmList toVmList(IniDocument document) {
--- a/core/src/test/java/org/sardinepost/core/membership/VmListReaderTest.java
+++ b/core/src/test/java/org/sardinepost/core/membership/VmListReaderTest.java
@@ -2,7 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.sardinepost.core.ini.ValidationResult;
+import org.sardinepost.core.ini.ValueCache;
 import org.sardinepost.core.routing.Upstream;
 import org.sardinepost.core.routing.UpstreamId;
 
@@ -37,4 +40,25 @@
         String text = "[vm 10.0.0.1]\nrole = server\nstate = gone\n";
         assertThat(VmListReader.read("v.ini", text).findings()).hasSize(4);
     }
+
+    @Test
+    void readsSuccessiveListsLikeAReaderWithoutACache() {
+        ValueCache cache = new ValueCache();
+        String first = vm(1, "upstream", "live") + "service = a\n";
+        String second = vm(2, "upstream", "live") + "service = a\n";
+        List<String> lists = List.of(
+                first + second,
+                first + second.replace("live", "leaving"),
+                "\n" + second,
+                second + vm(2, "daemon", "live"),
+                second + second.replace("service = a", "service = A"),
+                first);
+        for (String list : lists) {
+            ValidationResult<VmList> expected = VmListReader.read("v.ini", list);
+            ValidationResult<VmList> read = VmListReader.read("v.ini", list, cache);
+
+            assertThat(read.findings()).isEqualTo(expected.findings());
+            assertThat(read.value().map(VmList::vms)).isEqualTo(expected.value().map(VmList::vms));
+        }
+    }
 }
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.sardinepost.core.admission.PriorWaitEstimator;
+import org.sardinepost.core.ini.ValueCache;
 import org.sardinepost.core.membership.VmListReader;
 import org.sardinepost.core.routing.Dispatcher;
 import org.sardinepost.core.routing.Origin;
@@ -90,10 +91,11 @@
 
     private ControlPlane createControlPlane(DaemonSettings settings, DaemonExtensions extensions) {
         CachingServicesTextReader textReader = new CachingServicesTextReader();
+        ValueCache vmListCache = new ValueCache();
         return ControlPlane.builder(settings, tokens.incarnation())
                 .handoverReceiver(tokens::adopt)
                 .textReader(content -> textReader.read(settings.configuration().location(), content))
-                .vmListReader(content -> VmListReader.read(settings.vms().location(), content))
+                .vmListReader(content -> VmListReader.read(settings.vms().location(), content, vmListCache))
                 .target(new RegistryRoutingTarget(serviceRegistry, System::nanoTime))
                 .callerAddress(() -> new UpstreamId(settings.callerAddress().host(), callerPort()))
                 .metrics(metricsRegistry)
