Do not read a large text from the store while a peer passes it on

After a change of 1,400 routes each daemon read the store by itself: the state that a peer sends counts only once the text it names is held, and passing on a large text takes longer than the 1.15 s after which every daemon reads.

Change: for up to 1.5 s a daemon does not read while a peer passes on the text. Sections that a peer sent are digested once, and equal entries of a text are parsed once.

--- a/core/src/main/java/org/sardinepost/core/configuration/TextValidator.java
+++ b/core/src/main/java/org/sardinepost/core/configuration/TextValidator.java
@@ -22,7 +22,11 @@
 
     /** Validates a text. A text that is received repeatedly is parsed once. */
     public ValidatedText validate(CandidateText candidate) {
-        TextParts parts = TextParts.of(candidate.content());
+        return validate(candidate, TextParts.of(candidate.content()));
+    }
+
+    /** Validates a text whose sections and their digests are known, because it was assembled from them. */
+    public ValidatedText validate(CandidateText candidate, TextParts parts) {
         TextDigest digest = parts.textDigest();
         ValidationResult<ServicesText> result = last.filter(
                         previous -> previous.digest().equals(digest))
--- a/core/src/main/java/org/sardinepost/core/ini/SectionValueReader.java
+++ b/core/src/main/java/org/sardinepost/core/ini/SectionValueReader.java
@@ -27,7 +27,7 @@
         }
         String key = section.toString();
         boolean wasValid = cache.wasValid(key);
-        List<IniValue> values = cache.values(key, () -> read(rawEntries));
+        List<IniValue> values = cache.values(key, () -> read(rawEntries, cache));
         List<IniEntry> entries = new ArrayList<>(values.size());
         for (int i = 0; i < values.size(); i++) {
             IniEntry rawEntry = rawEntries.get(i);
@@ -43,16 +43,16 @@
      */
     record ReadSection(List<IniEntry> entries, boolean wasValid) {}
 
-    private static List<IniValue> read(List<IniEntry> rawEntries) {
+    private static List<IniValue> read(List<IniEntry> rawEntries, ValueCache cache) {
         boolean plain = rawEntries.stream().map(IniEntry::value).allMatch(PlainValue::matches);
-        return plain ? readPlain(rawEntries) : readWithLibrary(rawEntries);
+        return plain ? readPlain(rawEntries, cache) : readWithLibrary(rawEntries);
     }
 
-    private static List<IniValue> readPlain(List<IniEntry> rawEntries) {
+    private static List<IniValue> readPlain(List<IniEntry> rawEntries, ValueCache cache) {
         Map<String, IniValue> firstValues = new HashMap<>();
         return rawEntries.stream()
                 .map(entry -> firstValues.computeIfAbsent(
-                        entry.key(), key -> new IniValue(entry.value().trim())))
+                        entry.key(), key -> cache.value(key, entry.value().trim())))
                 .toList();
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationController.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationController.java
@@ -12,6 +12,7 @@
 import org.sardinepost.core.configuration.FetchSchedule;
 import org.sardinepost.core.configuration.OfferDecision;
 import org.sardinepost.core.configuration.TextOrigin;
+import org.sardinepost.core.configuration.TextParts;
 import org.sardinepost.core.configuration.TextValidator;
 import org.sardinepost.core.configuration.ValidatedText;
 import org.sardinepost.core.routing.UpstreamId;
@@ -66,24 +67,30 @@
 
     /** Validates a text and makes it the active one if it replaces the current one. */
     void offer(CandidateText candidate) {
-        offer(() -> Optional.of(candidate), decision -> {});
+        offer(() -> Optional.of(validator.validate(candidate)), decision -> {});
     }
 
     /**
-     * Validates a text on the validation thread, since a large one takes longer than a placement request may wait for
-     * the control thread.
+     * Assembles a text from its sections and offers it as {@link #offer(CandidateText)} does.
      *
-     * @param candidate supplies the text on the validation thread; nothing is offered if it returns empty
+     * @param parts supplies the sections on the validation thread; nothing is offered if it returns empty
      * @param onDecision receives the decision on the control thread
      */
-    void offer(Supplier<Optional<CandidateText>> candidate, Consumer<OfferDecision> onDecision) {
-        validationThread.execute(() -> candidate
-                .get()
-                .map(validator::validate)
-                .ifPresent(validated -> control.execute(() -> {
-                    OfferDecision decision = decide(validated);
-                    onDecision.accept(decision);
-                })));
+    void offerParts(long revision, Supplier<Optional<TextParts>> parts, Consumer<OfferDecision> onDecision) {
+        offer(
+                () -> parts.get()
+                        .map(assembled -> validator.validate(
+                                new CandidateText(revision, assembled.text(), TextOrigin.PEER), assembled)),
+                onDecision);
+    }
+
+    /**
+     * Runs on the validation thread what a text needs until it can be compared with the active one, since that takes
+     * longer for a large text than a placement request may wait for the control thread.
+     */
+    private void offer(Supplier<Optional<ValidatedText>> validation, Consumer<OfferDecision> onDecision) {
+        validationThread.execute(() ->
+                validation.get().ifPresent(validated -> control.execute(() -> onDecision.accept(decide(validated)))));
     }
 
     private OfferDecision decide(ValidatedText validated) {
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationExchange.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationExchange.java
@@ -7,11 +7,9 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.sardinepost.core.configuration.AcceptedText;
-import org.sardinepost.core.configuration.CandidateText;
 import org.sardinepost.core.configuration.ConfigurationHolder;
 import org.sardinepost.core.configuration.OfferDecision;
 import org.sardinepost.core.configuration.TextDigest;
-import org.sardinepost.core.configuration.TextOrigin;
 import org.sardinepost.core.configuration.TextParts;
 import org.sardinepost.core.text.SectionSplitter;
 import org.sardinepost.core.text.TextSection;
@@ -65,6 +63,11 @@
                 .forEach(peer -> sendOffer(peer, held, 0));
     }
 
+    /** Returns whether a peer is passing on a newer text. A transfer that takes too long does not count. */
+    boolean receiving() {
+        return transfer.filter(current -> !current.expired(clock.nanos())).isPresent();
+    }
+
     void handleOffer(Peer peer, ConfigurationOffer message) {
         PeerOffer offer = PeerOffer.of(message);
         peer.recordOffer(offer, clock.nanos());
@@ -141,9 +144,9 @@
 
     private void assemble(TextTransfer current, Supplier<List<String>> sections) {
         TextParts held = heldParts();
-        configuration.offer(
-                () -> TextParts.assemble(current.digests().orElseThrow(), held, sections.get())
-                        .map(parts -> new CandidateText(current.offer().revision(), parts.text(), TextOrigin.PEER)),
+        configuration.offerParts(
+                current.offer().revision(),
+                () -> TextParts.assemble(current.digests().orElseThrow(), held, sections.get()),
                 decision -> finishTransfer(current, decision));
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -110,7 +110,7 @@
         handoverSender = new HandoverSender(settings.region(), peers, control, random);
         startup = new StartupController(builder.polledSource.isPresent() ? Set::of : peers::listed, clock);
         sourceReader = builder.polledSource.map(source -> new SharedSourceReader(
-                source, peers, control, configuration, membership, this::handleSourceRead, clock));
+                source, peers, control, configuration, membership, this::handleSourceRead, exchange::receiving, clock));
         configurationSource = sourceReader.isPresent() ? Optional.empty() : source(settings.configuration());
         vmWatch = (sourceReader.isPresent() ? Optional.<ValueSource>empty() : source(settings.vms()))
                 .map(source -> watch(
--- a/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/SharedSourceReader.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.sardinepost.core.configuration.CandidateText;
 import org.sardinepost.core.configuration.ReadSchedule;
 import org.sardinepost.core.configuration.TextDigest;
@@ -36,6 +37,9 @@
     /** An older disturbance no longer explains why an entry is missing. */
     private static final long MAX_REPORTED_DISTURBANCE_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Longest time to wait for a text; a peer that takes longer has failed. */
+    private static final long MAX_TEXT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     private static final PeerMessage STATE_REQUEST = PeerMessage.newBuilder()
             .setSourceStateRequest(SourceStateRequest.getDefaultInstance())
             .build();
@@ -46,6 +50,7 @@
     private final ConfigurationController configuration;
     private final MembershipController membership;
     private final Runnable onRead;
+    private final BooleanSupplier receivingText;
     private final Clock clock;
     private final ReadSchedule readSchedule = new ReadSchedule();
     private final DisturbanceDetector disturbances;
@@ -65,6 +70,7 @@
             ConfigurationController configuration,
             MembershipController membership,
             Runnable onRead,
+            BooleanSupplier receivingText,
             Clock clock) {
         this.source = source;
         this.peers = peers;
@@ -72,6 +78,7 @@
         this.configuration = configuration;
         this.membership = membership;
         this.onRead = onRead;
+        this.receivingText = receivingText;
         this.clock = clock;
         this.disturbances = new DisturbanceDetector(clock.nanos());
     }
@@ -87,11 +94,22 @@
         if (vmList.isEmpty()) {
             requestStateFromNextPeer();
         }
-        if (readSchedule.due(peers.rank(READER_KEY), now)) {
+        if (!waitsForText(now) && readSchedule.due(peers.rank(READER_KEY), now)) {
             read(() -> {}, () -> {});
         }
     }
 
+    /**
+     * Returns whether this daemon lacks only a text that a peer is passing on. Reading a large text takes longer than
+     * receiving the rest of it, and all daemons would read it at the same time.
+     */
+    private boolean waitsForText(long nowNanos) {
+        return receivingText.getAsBoolean()
+                && pendingState
+                        .filter(pending -> nowNanos - pending.sinceNanos() < MAX_TEXT_WAIT_NANOS)
+                        .isPresent();
+    }
+
     /** Reads the source immediately, whether or not this daemon is due, and then runs one of the two callbacks. */
     void read(Runnable onSuccess, Runnable onFailure) {
         long startNanos = clock.nanos();
@@ -149,7 +167,11 @@
         if (heldTextRevision() >= state.getConfigurationRevision()) {
             readSchedule.stateReceived(asOf);
         } else {
-            pendingState = Optional.of(new PendingState(state.getConfigurationRevision(), asOf));
+            long since = pendingState
+                    .filter(pending -> pending.textRevision() == state.getConfigurationRevision())
+                    .map(PendingState::sinceNanos)
+                    .orElse(clock.nanos());
+            pendingState = Optional.of(new PendingState(state.getConfigurationRevision(), asOf, since));
         }
         sendStateToAwaitingPeers();
     }
@@ -300,6 +322,10 @@
         return Math.max(textRevision, configuration.heldRevision());
     }
 
-    /** A state that lacks only the services text, which the peers are still passing on. */
-    private record PendingState(long textRevision, long asOfNanos) {}
+    /**
+     * A state that lacks only the services text, which the peers are still passing on.
+     *
+     * @param sinceNanos when this daemon first learned of the text
+     */
+    private record PendingState(long textRevision, long asOfNanos, long sinceNanos) {}
 }
--- a/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/control/SharedSourceReaderTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -95,6 +96,34 @@
         return reader;
     }
 
+    /** All daemons that were busy with a large text read it from the source as well, which delayed them further. */
+    @Test
+    void aDaemonThatReceivesATextFromAPeerDoesNotReadItItself() throws Exception {
+        int receiver = (findReader() + 1) % NODES;
+        TestNode node = nodes.get(receiver);
+        node.textReading.lock();
+        try {
+            content.text(text(2, "second"));
+            await("the text", node.textReading::hasQueuedThreads);
+            long startNanos = System.nanoTime();
+            int readsBefore = sources.get(receiver).reads.get();
+            int reads = readsBefore;
+            long elapsedMillis = 0;
+            while (elapsedMillis < 1_300) {
+                int sampled = sources.get(receiver).reads.get();
+                elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+                // A sample that is taken later, on a busy machine, may include a read after the longest wait.
+                reads = elapsedMillis < 1_300 ? sampled : reads;
+                Thread.sleep(5);
+            }
+
+            assertThat(reads).isEqualTo(readsBefore);
+        } finally {
+            node.textReading.unlock();
+        }
+        node.awaitVersion(2);
+    }
+
     @Test
     void aChangeReachesDaemonsThatCannotReadTheSource() throws Exception {
         int reader = findReader();
