--- a/core/src/main/java/org/sardinepost/core/ini/values/PositiveDecimal.java
+++ b/core/src/main/java/org/sardinepost/core/ini/values/PositiveDecimal.java
@@ -6,7 +6,7 @@
 
 /** A decimal number above 0, without an exponent. */
 public record PositiveDecimal() implements ValueType<Double> {
-    private static final Pattern SYNTAX = Pattern.compile("[0-9]{1,6}(\\.[0-9]{1,6})?");
+    private static final Pattern SYNTAX = Pattern.compile("[0-9]{1,6}(\\.[0-9]{1,18})?");
 
     @Override
     public Parsed<Double> parse(String text) {
--- a/core/src/test/java/org/sardinepost/core/ini/values/ValuesTest.java
+++ b/core/src/test/java/org/sardinepost/core/ini/values/ValuesTest.java
@@ -79,6 +79,20 @@
         }
     }
 
+    @Nested
+    class PositiveDecimals {
+        @Test
+        void areReadWithAndWithoutAPoint() {
+            assertValue(new PositiveDecimal(), "2", 2.0);
+            assertValue(new PositiveDecimal(), "0.333333333333333333", 1.0 / 3);
+        }
+
+        @Test
+        void areNotZeroAndHaveNoSignOrExponent() {
+            assertRejected(new PositiveDecimal(), "", "0", "0.0", "-1", "1e3", ".5", "1.", "1,5", "NaN");
+        }
+    }
+
     @Nested
     class Percentages {
         @Test
--- a/core/src/test/java/org/sardinepost/core/settings/DaemonSettingsReaderTest.java
+++ b/core/src/test/java/org/sardinepost/core/settings/DaemonSettingsReaderTest.java
@@ -49,6 +49,17 @@
         assertThat(settings.vms()).isEqualTo(Source.file("vms.ini"));
     }
 
+    @Test
+    void readsTheProcessorCapacity() {
+        DaemonSettings settings =
+                readValid(MINIMAL.replace("region = brno", "region = brno\ncpu-share = 0.75\ncpu-speed = 2")
+                        + "source = file\nfile = s.ini\n");
+
+        assertThat(settings.processorCapacity()).isEqualTo(1.5);
+        assertThat(readValid(MINIMAL + "source = file\nfile = s.ini\n").processorCapacity())
+                .isEqualTo(1.0);
+    }
+
     @Test
     void readsEveryLimit() {
         DaemonSettings settings = readValid(MINIMAL + "source = file\nfile = s.ini\n[limits]\nheld-bytes = 8MiB\n"
