--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -157,6 +157,10 @@
                 "sardinepost_placed_for_others",
                 "Calls of other daemons that have a place from this one or wait for it.",
                 () -> controlPlane.placement().remoteDispatches());
+        metrics.registerGauge(
+                "sardinepost_coordinator_timeouts",
+                "Calls dispatched locally because the coordinator did not respond in time, since the start.",
+                () -> controlPlane.placement().coordinatorTimeouts());
         readiness.addCheck(gracefulShutdown::unreadyReason);
         readiness.addCheck(controlPlane::unreadyReason);
         statusPage.addSection(() -> controlPlane.status().lines());
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/Placement.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/Placement.java
@@ -76,6 +76,11 @@
         server.releaseIncarnation(incarnation);
     }
 
+    /** Returns the number of calls that were dispatched locally because the coordinator did not respond in time. */
+    public long coordinatorTimeouts() {
+        return client.timeouts();
+    }
+
     /** Returns the number of calls of other daemons that hold a dispatch from this daemon or wait for one. */
     public int remoteDispatches() {
         return server.activeCalls();
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementClient.java
@@ -43,6 +43,7 @@
     private final Scheduler scheduler;
     private final LongSupplier nanoClock;
     private final AtomicLong lastCall = new AtomicLong();
+    private final AtomicLong timeouts = new AtomicLong();
     private final Map<Long, PendingRequest> pendingByCall = new ConcurrentHashMap<>();
     private final Map<UpstreamId, AdaptiveTimeout> responseTimeouts = new ConcurrentHashMap<>();
     /** When the last requests that timed out were sent, to measure the responses to them. */
@@ -100,6 +101,11 @@
         }
     }
 
+    /** Returns the number of requests that a coordinator did not respond to in time. */
+    long timeouts() {
+        return timeouts.get();
+    }
+
     private long responseTimeoutMillis(UpstreamId coordinator, DispatchRequest request, long nowNanos) {
         long maxNanos = (long) (MAX_WAIT_FRACTION * (request.targetNanos() - nowNanos));
         return TimeUnit.NANOSECONDS.toMillis(responseTimeout(coordinator).nanos(maxNanos));
@@ -184,6 +190,7 @@
             if (future.isDone()) {
                 return;
             }
+            timeouts.incrementAndGet();
             if (!responded.get()) {
                 expectLateResponse();
             }
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -145,6 +145,7 @@
             coordinator.frozen = true;
 
             assertThat(acquire(requester).upstream()).isEqualTo(UPSTREAM.id());
+            assertThat(requester.placement.coordinatorTimeouts()).isEqualTo(1);
         }
 
         @Test
