Keep an offer that a peer sends while its previous text is validated

Since validation runs beside the control thread, a peer can offer the next version meanwhile. The end of the transfer then cleared that offer, and the daemon would not have requested the version from this peer. Only the offer that the transfer was for is cleared now.

--- a/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationExchange.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ConfigurationExchange.java
@@ -49,7 +49,7 @@
         announce();
         if (transfer.filter(current -> current.expired(clock.nanos())).isPresent()) {
             // A peer that did not respond is not asked again until it sends another offer.
-            transfer.flatMap(current -> peers.find(current.peerAddress())).ifPresent(Peer::clearOffer);
+            transfer.ifPresent(this::clearOffer);
             transfer = Optional.empty();
         }
         requestBest();
@@ -150,11 +150,18 @@
                 decision -> finishTransfer(current, decision));
     }
 
+    /** Clears the offer that a transfer is for, unless the peer has sent another one since. */
+    private void clearOffer(TextTransfer ended) {
+        peers.find(ended.peerAddress())
+                .filter(peer -> peer.offer().equals(Optional.of(ended.offer())))
+                .ifPresent(Peer::clearOffer);
+    }
+
     private void finishTransfer(TextTransfer finished, OfferDecision decision) {
         transfer = transfer.filter(current -> !current.equals(finished));
         if (!decision.changed()) {
             // Without the offer, a text that this daemon refuses is not requested from the peer again.
-            peers.find(finished.peerAddress()).ifPresent(Peer::clearOffer);
+            clearOffer(finished);
         }
         announce();
         requestBest();
