--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlThread.java
@@ -9,8 +9,8 @@
 import org.sardinepost.daemon.log.LogEvent;
 
 /**
- * The single thread that runs all control plane tasks. An exception or error in one task is logged and does not affect
- * the others: the executor would otherwise end a repeated task without notice.
+ * The single thread that runs all control plane tasks, or the one beside it that validates texts. An exception or error in
+ * one task is logged and does not affect the others: the executor would otherwise end a repeated task without notice.
  */
 public final class ControlThread implements Executor, AutoCloseable {
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
