Let rules that check one section at a time share their loop

SectionRule has the loop once, and its type is the flag. ValueCache kept the entries of the previous text, which were hardly used, since unchanged sections are cached as a whole; ControlPlane had a method that only called another one. Behaviour is the same: the tests of core pass unchanged, among them the comparison with readers without a cache.

--- a/core/src/main/java/org/sardinepost/core/ini/Rule.java
+++ b/core/src/main/java/org/sardinepost/core/ini/Rule.java
@@ -7,12 +7,4 @@
 public interface Rule {
     /** Returns every violation of the rule; never throws, whatever the file contains. */
     List<Finding> check(IniDocument document);
-
-    /**
-     * Returns whether the findings in a section depend on that section alone. A section that was valid before is then not
-     * checked again.
-     */
-    default boolean checksSectionsSeparately() {
-        return false;
-    }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/ValidatingReader.java
+++ b/core/src/main/java/org/sardinepost/core/ini/ValidatingReader.java
@@ -35,7 +35,7 @@
         IniDocument document = IniParser.parse(file, content, cache);
         IniDocument changed = document.withChangedSectionsOnly();
         List<Finding> findings = rules.stream()
-                .flatMap(rule -> rule.check(rule.checksSectionsSeparately() ? changed : document).stream())
+                .flatMap(rule -> rule.check(rule instanceof SectionRule ? changed : document).stream())
                 .sorted(Comparator.comparingInt(Finding::line))
                 .toList();
         if (!findings.isEmpty()) {
--- a/core/src/main/java/org/sardinepost/core/ini/ValueCache.java
+++ b/core/src/main/java/org/sardinepost/core/ini/ValueCache.java
@@ -14,8 +14,7 @@
 public final class ValueCache {
     private Map<String, List<IniValue>> previousDocument = new HashMap<>();
     private Map<String, List<IniValue>> currentDocument = new HashMap<>();
-    private Map<String, IniValue> previousEntries = new HashMap<>();
-    private Map<String, IniValue> currentEntries = new HashMap<>();
+    private Map<String, IniValue> entries = new HashMap<>();
     private boolean previousDocumentValid;
     private boolean currentDocumentValid;
 
@@ -23,17 +22,14 @@
     void startDocument() {
         previousDocument = currentDocument;
         currentDocument = new HashMap<>();
-        previousEntries = currentEntries;
-        currentEntries = new HashMap<>();
+        entries = new HashMap<>();
         previousDocumentValid = currentDocumentValid;
         currentDocumentValid = false;
     }
 
     /** Returns the value of an entry. Equal entries of a document have one value, since most sections differ in few. */
     IniValue value(String key, String text) {
-        String entry = key + '=' + text;
-        IniValue cached = previousEntries.get(entry);
-        return currentEntries.computeIfAbsent(entry, unused -> cached != null ? cached : new IniValue(text));
+        return entries.computeIfAbsent(key + '=' + text, entry -> new IniValue(text));
     }
 
     /** Records that the current document violates no rule. */
--- a/core/src/main/java/org/sardinepost/core/ini/rules/KeyValues.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeyValues.java
@@ -10,15 +10,15 @@
 import org.sardinepost.core.ini.IniSection;
 import org.sardinepost.core.ini.Key;
 import org.sardinepost.core.ini.Problem;
-import org.sardinepost.core.ini.Rule;
 import org.sardinepost.core.ini.SectionFormat;
+import org.sardinepost.core.ini.SectionRule;
 
 /**
  * Reports values that are invalid for their key.
  *
  * <p>An invalid value is never replaced by the default, because the operator would assume that the value is in effect.
  */
-public final class KeyValues implements Rule {
+public final class KeyValues implements SectionRule {
     private final FileFormat format;
 
     public KeyValues(FileFormat format) {
@@ -26,24 +26,14 @@
     }
 
     @Override
-    public List<Finding> check(IniDocument document) {
-        List<Finding> findings = new ArrayList<>();
-        for (IniSection section : document.sections()) {
-            Optional<SectionFormat> sectionFormat = format.formatOf(section);
-            if (sectionFormat.isPresent()) {
-                addInvalidValues(findings, document, section, sectionFormat.get());
-            }
-        }
-        return findings;
+    public List<Finding> check(IniDocument document, IniSection section) {
+        return format.formatOf(section)
+                .map(sectionFormat -> invalidValues(document, section, sectionFormat))
+                .orElse(List.of());
     }
 
-    @Override
-    public boolean checksSectionsSeparately() {
-        return true;
-    }
-
-    private static void addInvalidValues(
-            List<Finding> findings, IniDocument document, IniSection section, SectionFormat format) {
+    private static List<Finding> invalidValues(IniDocument document, IniSection section, SectionFormat format) {
+        List<Finding> findings = new ArrayList<>();
         for (IniEntry entry : section.entries()) {
             Optional<Key<?>> key = format.key(entry.key());
             if (key.isEmpty()) {
@@ -53,5 +43,6 @@
                 findings.add(document.finding(section, entry, problem.message(), problem.remedy()));
             }
         }
+        return findings;
     }
 }
--- a/core/src/main/java/org/sardinepost/core/ini/rules/KeysPresent.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeysPresent.java
@@ -7,15 +7,15 @@
 import org.sardinepost.core.ini.IniDocument;
 import org.sardinepost.core.ini.IniSection;
 import org.sardinepost.core.ini.Key;
-import org.sardinepost.core.ini.Rule;
 import org.sardinepost.core.ini.SectionFormat;
+import org.sardinepost.core.ini.SectionRule;
 
 /**
  * Reports required keys that are not set.
  *
  * <p>Required keys have no default, because no value is suitable for every deployment.
  */
-public final class KeysPresent implements Rule {
+public final class KeysPresent implements SectionRule {
     private final FileFormat format;
 
     public KeysPresent(FileFormat format) {
@@ -23,18 +23,12 @@
     }
 
     @Override
-    public List<Finding> check(IniDocument document) {
-        return document.sections().stream()
-                .flatMap(section -> format.formatOf(section).stream()
-                        .flatMap(sectionFormat -> missingKeys(document, section, sectionFormat)))
+    public List<Finding> check(IniDocument document, IniSection section) {
+        return format.formatOf(section).stream()
+                .flatMap(sectionFormat -> missingKeys(document, section, sectionFormat))
                 .toList();
     }
 
-    @Override
-    public boolean checksSectionsSeparately() {
-        return true;
-    }
-
     private static Stream<Finding> missingKeys(IniDocument document, IniSection section, SectionFormat format) {
         return format.keys().stream()
                 .filter(Key::required)
--- a/core/src/main/java/org/sardinepost/core/ini/rules/KeysUnique.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/KeysUnique.java
@@ -8,27 +8,16 @@
 import org.sardinepost.core.ini.IniDocument;
 import org.sardinepost.core.ini.IniEntry;
 import org.sardinepost.core.ini.IniSection;
-import org.sardinepost.core.ini.Rule;
+import org.sardinepost.core.ini.SectionRule;
 
 /**
  * Reports keys that occur twice in a section.
  *
  * <p>The effective value would depend on the order of the lines.
  */
-public final class KeysUnique implements Rule {
+public final class KeysUnique implements SectionRule {
     @Override
-    public List<Finding> check(IniDocument document) {
-        return document.sections().stream()
-                .flatMap(section -> duplicates(document, section).stream())
-                .toList();
-    }
-
-    @Override
-    public boolean checksSectionsSeparately() {
-        return true;
-    }
-
-    private static List<Finding> duplicates(IniDocument document, IniSection section) {
+    public List<Finding> check(IniDocument document, IniSection section) {
         Map<String, IniEntry> firstByKey = new HashMap<>();
         List<Finding> findings = new ArrayList<>();
         for (IniEntry entry : section.entries()) {
--- a/core/src/main/java/org/sardinepost/core/ini/rules/SectionNames.java
+++ b/core/src/main/java/org/sardinepost/core/ini/rules/SectionNames.java
@@ -6,15 +6,15 @@
 import org.sardinepost.core.ini.Finding;
 import org.sardinepost.core.ini.IniDocument;
 import org.sardinepost.core.ini.IniSection;
-import org.sardinepost.core.ini.Rule;
 import org.sardinepost.core.ini.SectionFormat;
+import org.sardinepost.core.ini.SectionRule;
 
 /**
  * Reports sections that the format does not define.
  *
  * <p>If a misspelt section were ignored, its keys would silently have no effect.
  */
-public final class SectionNames implements Rule {
+public final class SectionNames implements SectionRule {
     private final FileFormat format;
 
     public SectionNames(FileFormat format) {
@@ -22,16 +22,10 @@
     }
 
     @Override
-    public List<Finding> check(IniDocument document) {
-        return document.sections().stream()
-                .filter(section -> format.formatOf(section).isEmpty())
-                .map(section -> document.finding(section, message(section), remedy()))
-                .toList();
-    }
-
-    @Override
-    public boolean checksSectionsSeparately() {
-        return true;
+    public List<Finding> check(IniDocument document, IniSection section) {
+        return format.formatOf(section).isPresent()
+                ? List.of()
+                : List.of(document.finding(section, message(section), remedy()));
     }
 
     private static String message(IniSection section) {
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -110,7 +110,7 @@
         handoverSender = new HandoverSender(settings.region(), peers, control, random);
         startup = new StartupController(builder.polledSource.isPresent() ? Set::of : peers::listed, clock);
         sourceReader = builder.polledSource.map(source -> new SharedSourceReader(
-                source, peers, control, configuration, membership, this::handleSourceRead, exchange::receiving, clock));
+                source, peers, control, configuration, membership, this::tickStartup, exchange::receiving, clock));
         configurationSource = sourceReader.isPresent() ? Optional.empty() : source(settings.configuration());
         vmWatch = (sourceReader.isPresent() ? Optional.<ValueSource>empty() : source(settings.vms()))
                 .map(source -> watch(
@@ -270,11 +270,6 @@
         client.stop();
     }
 
-    /** Runs after a read of the source, so that a starting daemon gets ready before the next tick. */
-    private void handleSourceRead() {
-        tickStartup();
-    }
-
     /**
      * Waits for a VM list first, since a daemon without one can neither serve nor dispatch calls; peers send theirs if
      * the source is down.
