Take the processor capacity from the environment, not from the settings template

Without them the settings apply, where one key, processor-capacity, replaces cpu-share and cpu-speed.

--- a/core/src/main/java/org/sardinepost/core/settings/DaemonKeys.java
+++ b/core/src/main/java/org/sardinepost/core/settings/DaemonKeys.java
@@ -27,9 +27,7 @@
 
     public static final Key<PlacementMode> PLACEMENT = Key.optional("placement", Choice.of(PlacementMode.class), "own");
 
-    public static final Key<Double> CPU_SHARE = Key.optional("cpu-share", new PositiveDecimal(), "1");
-
-    public static final Key<Double> CPU_SPEED = Key.optional("cpu-speed", new PositiveDecimal(), "1");
+    public static final Key<Double> PROCESSOR_CAPACITY = Key.optional("processor-capacity", new PositiveDecimal(), "1");
 
     public static final SectionFormat SECTION = new SectionFormat(
             "daemon",
@@ -43,8 +41,7 @@
                     REGION,
                     DRAIN_WAIT,
                     PLACEMENT,
-                    CPU_SHARE,
-                    CPU_SPEED));
+                    PROCESSOR_CAPACITY));
 
     private DaemonKeys() {}
 }
--- a/core/src/main/java/org/sardinepost/core/settings/DaemonSettingsReader.java
+++ b/core/src/main/java/org/sardinepost/core/settings/DaemonSettingsReader.java
@@ -31,7 +31,7 @@
                 .region(DaemonKeys.REGION.read(daemon))
                 .drainWait(DaemonKeys.DRAIN_WAIT.read(daemon))
                 .placement(DaemonKeys.PLACEMENT.read(daemon))
-                .processorCapacity(DaemonKeys.CPU_SHARE.read(daemon) * DaemonKeys.CPU_SPEED.read(daemon))
+                .processorCapacity(DaemonKeys.PROCESSOR_CAPACITY.read(daemon))
                 .configuration(SourceKeys.readSource(configuration, SourceKeys.CONFIGURATION_SOURCE))
                 .vms(SourceKeys.readSource(vms, SourceKeys.VMS_SOURCE))
                 .absentHold(SourceKeys.ABSENT_HOLD.find(vms))
--- a/core/src/test/java/org/sardinepost/core/settings/DaemonSettingsReaderTest.java
+++ b/core/src/test/java/org/sardinepost/core/settings/DaemonSettingsReaderTest.java
@@ -51,9 +51,8 @@
 
     @Test
     void readsTheProcessorCapacity() {
-        DaemonSettings settings =
-                readValid(MINIMAL.replace("region = brno", "region = brno\ncpu-share = 0.75\ncpu-speed = 2")
-                        + "source = file\nfile = s.ini\n");
+        DaemonSettings settings = readValid(MINIMAL.replace("region = brno", "region = brno\nprocessor-capacity = 1.5")
+                + "source = file\nfile = s.ini\n");
 
         assertThat(settings.processorCapacity()).isEqualTo(1.5);
         assertThat(readValid(MINIMAL + "source = file\nfile = s.ini\n").processorCapacity())
--- a/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/Daemon.java
@@ -97,6 +97,7 @@
                 .textReader(content -> textReader.read(settings.configuration().location(), content))
                 .vmListReader(content -> VmListReader.read(settings.vms().location(), content, vmListCache))
                 .target(new RegistryRoutingTarget(serviceRegistry, System::nanoTime))
+                .processorCapacity(extensions.processorCapacity().orElse(settings.processorCapacity()))
                 .callerAddress(() -> new UpstreamId(settings.callerAddress().host(), callerPort()))
                 .metrics(metricsRegistry)
                 .scheduler(scheduler)
--- a/daemon/src/main/java/org/sardinepost/daemon/DaemonExtensions.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/DaemonExtensions.java
@@ -12,11 +12,13 @@
     private final UpstreamProtocol upstreamProtocol;
     private final UnaryOperator<BufferedResponse> localResponseTranslator;
     private final Optional<PolledSource> polledSource;
+    private final Optional<Double> processorCapacity;
 
     private DaemonExtensions(Builder builder) {
         this.upstreamProtocol = Objects.requireNonNull(builder.upstreamProtocol);
         this.localResponseTranslator = Objects.requireNonNull(builder.localResponseTranslator);
         this.polledSource = builder.polledSource;
+        this.processorCapacity = builder.processorCapacity;
     }
 
     /** Returns the daemon's own protocol and the sources named in the settings. */
@@ -42,10 +44,16 @@
         return polledSource;
     }
 
+    /** Replaces the processor capacity in the settings, in cores of normal speed. */
+    Optional<Double> processorCapacity() {
+        return processorCapacity;
+    }
+
     public static final class Builder {
         private UpstreamProtocol upstreamProtocol = UpstreamProtocol.untranslated();
         private UnaryOperator<BufferedResponse> localResponseTranslator = UnaryOperator.identity();
         private Optional<PolledSource> polledSource = Optional.empty();
+        private Optional<Double> processorCapacity = Optional.empty();
 
         private Builder() {}
 
@@ -64,6 +72,11 @@
             return this;
         }
 
+        public Builder processorCapacity(Optional<Double> value) {
+            this.processorCapacity = value;
+            return this;
+        }
+
         public DaemonExtensions build() {
             return new DaemonExtensions(this);
         }
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -57,6 +57,7 @@
     private final ControlThread validation = new ControlThread("validation");
     private final PeerCounters counters = new PeerCounters();
     private final HeldIncarnations heldIncarnations;
+    private final double processorCapacity;
     private final PeerTransport transport;
     private final PeerTable peers;
     private final PeerDiscovery discovery;
@@ -91,9 +92,10 @@
         clock = builder.clock;
         random = builder.random;
         heldIncarnations = new HeldIncarnations(incarnation);
+        processorCapacity = builder.processorCapacity;
         transport = new PeerTransport(this::localHello, listener(), counters, builder.timings, random);
         ByteBudget budget = new ByteBudget(loadBytesPerSecond(builder), clock.nanos());
-        peers = new PeerTable(this::peerAddress, settings.processorCapacity(), transport::connect, budget, clock);
+        peers = new PeerTable(this::peerAddress, processorCapacity, transport::connect, budget, clock);
         discovery = new PeerDiscovery(peers);
         configuration = new ConfigurationController(
                 this::peerAddress,
@@ -396,7 +398,7 @@
                 .setFailureDomain(settings.failureDomain())
                 .setRegion(settings.region())
                 .addAllHeldIncarnations(heldIncarnations.all())
-                .setProcessorCapacity(settings.processorCapacity())
+                .setProcessorCapacity(processorCapacity)
                 .build();
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlaneBuilder.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlaneBuilder.java
@@ -45,12 +45,14 @@
     Function<String, Optional<TimedCentralDispatcher>> centralDispatchers = service -> Optional.empty();
     Scheduler scheduler = new ScheduledExecutorScheduler("placement", true);
     Optional<PolledSource> polledSource = Optional.empty();
+    double processorCapacity;
 
     ControlPlaneBuilder(DaemonSettings settings, long incarnation) {
         SecureRandom secure = new SecureRandom();
         this.settings = Objects.requireNonNull(settings);
         this.incarnation = incarnation;
         this.callerAddress = settings::callerAddress;
+        this.processorCapacity = settings.processorCapacity();
         this.random = secure::nextDouble;
         this.randomLong = secure::nextLong;
     }
@@ -106,6 +108,12 @@
         return this;
     }
 
+    /** Sets the processor capacity of this daemon, in cores of normal speed; by default that in the settings. */
+    public ControlPlaneBuilder processorCapacity(double value) {
+        this.processorCapacity = value;
+        return this;
+    }
+
     /** Sets a shared source of the services text and the VM list; if empty, the sources in the settings are used. */
     public ControlPlaneBuilder polledSource(Optional<PolledSource> value) {
         this.polledSource = value;
