Log why a dispatcher refused a call, also across daemons

The refusal reason deadline-too-short covers three refusals of the coordinator: calls queued ahead, a service time that is too long for the deadline, and no free slot in time.

Tests: PlacementTest.RefusalByTheCoordinator, CtlTest.Explain.tellsWhyADispatcherRefused.

--- a/core/src/main/java/org/sardinepost/core/call/RefusedException.java
+++ b/core/src/main/java/org/sardinepost/core/call/RefusedException.java
@@ -7,6 +7,7 @@
 /** Thrown when a call ends with a response of the daemon itself instead of an upstream's. */
 public final class RefusedException extends RuntimeException {
     private final RefusalReason reason;
+    private final String detail;
     private final Outcome outcome;
     private final Optional<Duration> retryAfter;
 
@@ -20,6 +21,7 @@
         // Refusals are frequent under overload and their stack traces are not useful, so none is recorded.
         super(detail + "; " + reason.remedy(), null, false, false);
         this.reason = Objects.requireNonNull(reason);
+        this.detail = detail;
         this.outcome = Objects.requireNonNull(outcome);
         this.retryAfter = Optional.empty();
     }
@@ -27,6 +29,7 @@
     private RefusedException(RefusedException original, Outcome outcome, Optional<Duration> retryAfter) {
         super(original.getMessage(), null, false, false);
         this.reason = original.reason;
+        this.detail = original.detail;
         this.outcome = outcome;
         this.retryAfter = retryAfter;
     }
@@ -50,6 +53,11 @@
         return reason;
     }
 
+    /** Returns what led to the refusal, without the remedy. */
+    public String detail() {
+        return detail;
+    }
+
     public Outcome outcome() {
         return outcome;
     }
--- a/ctl/src/main/java/org/sardinepost/ctl/RequestTimeline.java
+++ b/ctl/src/main/java/org/sardinepost/ctl/RequestTimeline.java
@@ -85,6 +85,8 @@
         String hint = callerDisconnected
                 ? " (no attempt has a result: the caller disconnected while an upstream was processing the request)"
                 : "";
-        return reason.get().label() + hint + "; remedy: " + reason.get().remedy();
+        String detail = end.field("detail").isEmpty() ? "" : " (" + end.field("detail") + ")";
+        return reason.get().label() + hint + detail + "; remedy: "
+                + reason.get().remedy();
     }
 }
--- a/ctl/src/test/java/org/sardinepost/ctl/CtlTest.java
+++ b/ctl/src/test/java/org/sardinepost/ctl/CtlTest.java
@@ -234,6 +234,18 @@
             assertThat(out.toString()).doesNotContain("10.0.0.2");
         }
 
+        @Test
+        void tellsWhyADispatcherRefused() throws IOException {
+            String refused =
+                    "{\"at\":\"2026-09-06T12:59:20.845Z\",\"level\":\"info\",\"event\":\"SP-300\",\"id\":\"a1\","
+                            + "\"route\":\"r-1\",\"service\":\"status\",\"attempts\":[],\"status\":503,"
+                            + "\"outcome\":\"not-run deadline-too-short\",\"took-ms\":4,"
+                            + "\"detail\":\"7 calls are queued ahead\"}\n";
+
+            assertThat(run("explain", "a1", file("one.log", refused))).isEqualTo(0);
+            assertThat(out.toString()).contains("cause: deadline-too-short (7 calls are queued ahead); remedy:");
+        }
+
         @Test
         void readsTheVmNameBeforeTheJsonObject() throws IOException {
             String log = file("all.log", "  23.8461 front-2 " + CALL_LINE + "  23.1 front-3 " + EVENT_LINE);
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamDispatch.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamDispatch.java
@@ -98,11 +98,15 @@
      * Ends the call if no dispatch can be acquired. If this was for a retry, the caller receives the result of the
      * previous attempt.
      */
-    private void handleAcquireFailure(Throwable refusal) {
+    private void handleAcquireFailure(Throwable failure) {
+        Throwable cause = Refusals.unwrap(failure);
+        if (cause instanceof RefusedException refusal) {
+            call.record().dispatchRefused(refusal.detail());
+        }
         if (lastAttempt.isPresent()) {
             finish(lastAttempt.get());
         } else {
-            result.completeExceptionally(Refusals.unwrap(refusal));
+            result.completeExceptionally(cause);
         }
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/log/CallRecord.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/CallRecord.java
@@ -15,6 +15,7 @@
     private String service = "";
     private long dispatchedNanos;
     private String outcomeLabel = "";
+    private String refusalDetail = "";
     private int status;
     private long endNanos;
 
@@ -43,6 +44,11 @@
         attempts.add(attempt.toString());
     }
 
+    /** Records why a dispatcher refused the call. */
+    public synchronized void dispatchRefused(String detail) {
+        refusalDetail = detail;
+    }
+
     public synchronized void ended(int responseStatus, String callOutcome, long nowNanos) {
         status = responseStatus;
         outcomeLabel = callOutcome;
@@ -56,6 +62,9 @@
                 .add("status", status)
                 .add("outcome", outcomeLabel)
                 .add("took-ms", nanosToMillis(endNanos - arrivalNanos));
+        if (!refusalDetail.isEmpty()) {
+            line.add("detail", refusalDetail);
+        }
     }
 
     private static String formatLoad(ReportedLoad load) {
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementMessageCodec.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementMessageCodec.java
@@ -103,6 +103,7 @@
         return toMessage(PlaceAnswer.newBuilder()
                 .setCall(call)
                 .setRefusal(refusal.reason().label())
+                .setDetail(refusal.detail())
                 .setRetryAfterMs(
                         refusal.retryAfter().map(Duration::toMillis).orElse(0L).intValue()));
     }
@@ -110,7 +111,7 @@
     /** Returns the refusal in a response; empty if the response contains none. */
     static Optional<RefusedException> decodeRefusal(PlaceAnswer answer) {
         return Optional.ofNullable(REASONS_BY_LABEL.get(answer.getRefusal())).map(reason -> new RefusedException(
-                        reason, "the daemon that coordinates the calls of the service refused the call")
+                        reason, "the coordinator of the service refused the call: " + answer.getDetail())
                 .withRetryAfter(Duration.ofMillis(answer.getRetryAfterMs())));
     }
 
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon.placement;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -10,12 +11,14 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.membership.RendezvousHash;
 import org.sardinepost.core.membership.RoleCandidate;
 import org.sardinepost.core.routing.CentralDispatcher;
@@ -113,6 +116,20 @@
         }
     }
 
+    @Nested
+    class RefusalByTheCoordinator {
+        @Test
+        void tellsTheDaemonOfTheCallItsDetail() {
+            long now = System.nanoTime();
+            DispatchRequest expired = new DispatchRequest(now, 0, 0, Set.of(), now, 0, Origin.unknown(), "route");
+            CompletionException failure = assertThrows(
+                    CompletionException.class,
+                    () -> requester.dispatcher.acquire(expired, now).join());
+
+            assertThat(((RefusedException) failure.getCause()).detail()).contains("the typical service time is 0 ms");
+        }
+    }
+
     @Nested
     class SmallDaemon {
         @Test
