--- a/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
+++ b/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
@@ -64,6 +64,13 @@
     /** Calls that reached an upstream from a daemon between half a second after it was turned away and the end. */
     int callsToClosed;
 
+    private long pausedFrom = Long.MAX_VALUE;
+    private long pausedUntil = Long.MAX_VALUE;
+    private long slowFrom = Long.MAX_VALUE;
+    private long slowUntil = Long.MAX_VALUE;
+    private double slowPhaseFactor = 1;
+    private int foreignCalls;
+
     private static final int DAEMONS = 2;
     private static final double TURNED_AWAY_FRACTION = 0.4;
     private static final long HALF_SECOND_NANOS = 500 * MILLIS;
@@ -104,6 +111,61 @@
         closedUntil = untilMillis * MILLIS;
     }
 
+    /**
+     * Stops the process of the dispatcher for a time. What reaches it meanwhile is handled at the end; new calls go to
+     * another coordinator.
+     */
+    void pause(long fromMillis, long untilMillis) {
+        pausedFrom = fromMillis * MILLIS;
+        pausedUntil = untilMillis * MILLIS;
+    }
+
+    /** Multiplies the service time of the calls that start in a time, without a slowdown that upstreams report. */
+    void slowPhase(double factor, long fromMillis, long untilMillis) {
+        slowPhaseFactor = factor;
+        slowFrom = fromMillis * MILLIS;
+        slowUntil = untilMillis * MILLIS;
+    }
+
+    /** Makes upstreams report additional calls of another coordinator for a time. */
+    void addForeignCalls(int callsPerUpstream, long fromMillis, long untilMillis) {
+        scheduleAt(fromMillis * MILLIS, () -> foreignCalls = callsPerUpstream);
+        scheduleAt(untilMillis * MILLIS, () -> foreignCalls = 0);
+    }
+
+    /** Removes all but the first upstreams. */
+    void keepUpstreams(int count, long atMillis) {
+        scheduleAt(
+                atMillis * MILLIS,
+                () -> dispatcher.setUpstreams(
+                        upstreams.subList(0, count).stream()
+                                .map(id -> new Upstream(id, "a"))
+                                .toList(),
+                        now));
+    }
+
+    /** Starts counting calls anew. */
+    void resetCountsAt(long millis) {
+        scheduleAt(millis * MILLIS, () -> {
+            calls = 0;
+            onTime = 0;
+            late = 0;
+            refused = 0;
+        });
+    }
+
+    private boolean paused() {
+        return now >= pausedFrom && now < pausedUntil;
+    }
+
+    private void toDispatcher(Runnable action) {
+        if (paused()) {
+            scheduleAt(pausedUntil, action);
+        } else {
+            action.run();
+        }
+    }
+
     private List<UpstreamId> firstUpstreams(double fraction) {
         return upstreams.subList(0, (int) Math.round(fraction * upstreams.size()));
     }
@@ -129,6 +191,9 @@
     }
 
     private void call(long serviceMillis, long targetMillis) {
+        if (paused()) {
+            return;
+        }
         calls++;
         call(now, maxRetries, serviceMillis, targetMillis);
     }
@@ -201,8 +266,13 @@
         int otherRunning = running.merge(upstream, 1, Integer::sum) - 1;
         double serviceTimeVariation = 0.7 + 0.6 * random.nextDouble();
         double lastSlotFactor = otherRunning >= SLOTS - 1 ? 1.7 : 1;
-        long serviceNanos =
-                (long) (serviceMillis * MILLIS * serviceTimeVariation * lastSlotFactor * slowdownFactor(upstream));
+        double phaseFactor = now >= slowFrom && now < slowUntil ? slowPhaseFactor : 1;
+        long serviceNanos = (long) (serviceMillis
+                * MILLIS
+                * serviceTimeVariation
+                * lastSlotFactor
+                * phaseFactor
+                * slowdownFactor(upstream));
         scheduleAt(now + serviceNanos, () -> {
             running.merge(upstream, -1, Integer::sum);
             ReportedLoad load = load(upstream, 1);
@@ -215,9 +285,9 @@
             if (leaving) {
                 leavingSaidAt.putIfAbsent(upstream, now);
             }
-            dispatch.complete(
-                    new DispatchResult(DispatchResult.Kind.ANSWERED, Optional.of(load), leaving && heedsUpstreams),
-                    now);
+            DispatchResult result =
+                    new DispatchResult(DispatchResult.Kind.ANSWERED, Optional.of(load), leaving && heedsUpstreams);
+            toDispatcher(() -> dispatch.complete(result, now));
         });
     }
 
@@ -253,13 +323,15 @@
     private void probe(UpstreamId upstream) {
         scheduleAt(now + PROBE_ROUND_TRIP_NANOS / 2, () -> {
             ReportedLoad load = load(upstream, 0);
-            scheduleAt(now + PROBE_ROUND_TRIP_NANOS / 2, () -> dispatcher.recordProbeResponse(upstream, load, now));
+            scheduleAt(
+                    now + PROBE_ROUND_TRIP_NANOS / 2,
+                    () -> toDispatcher(() -> dispatcher.recordProbeResponse(upstream, load, now)));
         });
     }
 
     private ReportedLoad load(UpstreamId upstream, int finishing) {
-        return new ReportedLoad(
-                running.getOrDefault(upstream, 0) + finishing, SLOTS, (int) Math.round(100 * slowdownFactor(upstream)));
+        return new ReportedLoad(running.getOrDefault(upstream, 0) + finishing + foreignCalls, SLOTS, (int)
+                Math.round(100 * slowdownFactor(upstream)));
     }
 
     private double slowdownFactor(UpstreamId upstream) {
@@ -270,7 +342,7 @@
     }
 
     private void tick() {
-        dispatcher.expireQueuedCalls(now);
+        toDispatcher(() -> dispatcher.expireQueuedCalls(now));
         scheduleAt(now + TICK_NANOS, this::tick);
     }
 
--- /dev/null
+++ b/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
@@ -0,0 +1,154 @@
+package org.sardinepost.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against services whose calls are all refused although their upstreams are idle. */
+@Tag("known-red")
+final class ServiceLockoutTest {
+    private static final long MILLIS = 1_000_000L;
+
+    /** 60 calls/s with a service time of 160 ms and a target of 400 ms; counts those after 25 s. */
+    private static FleetSimulation simulation(int upstreams, double slowHostFraction) {
+        FleetSimulation simulation = new FleetSimulation(3, upstreams, slowHostFraction, true);
+        simulation.addArrivals(60, 0, 40_000, 160, 400);
+        simulation.resetCountsAt(25_000);
+        return simulation;
+    }
+
+    private static void assertServed(FleetSimulation simulation, double fraction) {
+        simulation.run(60_000);
+        assertWithMessage("on time of %s, with %s refused", simulation.calls, simulation.refused)
+                .that(simulation.onTime)
+                .isAtLeast((int) (fraction * simulation.calls));
+    }
+
+    /** Guards against time in which the coordinator stood still being counted as service time of the calls of that time. */
+    @Nested
+    class PausedCoordinator {
+        @ParameterizedTest
+        @ValueSource(longs = {500, 1_000, 4_000, 17_000})
+        void servesCallsWhenItGoesOn(long pauseMillis) {
+            FleetSimulation simulation = simulation(10, 0);
+            simulation.pause(24_000 - pauseMillis, 24_000);
+
+            assertServed(simulation, 0.95);
+        }
+
+        @Test
+        void servesCallsAfterAPauseAmongNoisyNeighbors() {
+            FleetSimulation simulation = simulation(10, 0.25);
+            simulation.pause(7_000, 24_000);
+
+            assertServed(simulation, 0.9);
+        }
+    }
+
+    /** Guards against an expected wait that no call can shorten, since each is refused for it. */
+    @Nested
+    class UpstreamsLeftAfterASlowPhase {
+        @ParameterizedTest
+        @ValueSource(ints = {1, 2, 3})
+        void areUsedAtTheirNormalSpeed(int left) {
+            FleetSimulation simulation = new FleetSimulation(3, 10, 0, true);
+            simulation.addArrivals(60, 0, 20_000, 160, 400);
+            simulation.addArrivals(4, 24_000, 40_000, 160, 400);
+            simulation.resetCountsAt(23_000);
+            simulation.slowPhase(5, 15_000, 20_000);
+            simulation.keepUpstreams(left, 22_000);
+
+            assertServed(simulation, 0.9);
+        }
+    }
+
+    @Nested
+    class SingleUpstream {
+        @Test
+        void isUsedWhileItIsIdle() {
+            FleetSimulation simulation = new FleetSimulation(3, 1, 0, true);
+            simulation.addArrivals(3, 0, 40_000, 250, 400);
+
+            assertServed(simulation, 0.5);
+        }
+    }
+
+    /** Guards against calls of another coordinator that are still assumed to be in progress after the last report. */
+    @Nested
+    class CallsOfAnotherCoordinator {
+        @Test
+        void areForgottenWithoutReports() {
+            FleetSimulation simulation = simulation(10, 0);
+            simulation.addForeignCalls(3, 10_000, 24_000);
+
+            assertServed(simulation, 0.95);
+        }
+    }
+
+    /** Guards against waiting for a slowdown to end that is not that of a noisy neighbor. */
+    @Nested
+    class EveryHostSlow {
+        @Test
+        void servesCallsThatStillMeetTheirDeadline() {
+            FleetSimulation simulation = new FleetSimulation(3, 10, 1, true);
+            simulation.addArrivals(5, 0, 20_000, 160, 400);
+            simulation.run(40_000);
+
+            // The service time is 800 ms and the deadline 1,200 ms.
+            assertThat(simulation.late).isAtLeast(simulation.calls / 2);
+        }
+    }
+
+    /** Guards against a kind of call that stays refused although its upstreams have become fast again. */
+    @Nested
+    class KindRefusedForItsServiceTime {
+        private final List<UpstreamId> probed = new ArrayList<>();
+        private final CentralDispatcher dispatcher = new CentralDispatcher(
+                DispatcherSettings.of(3, "a"),
+                new SplittableRandom(1),
+                Optional.of(upstream -> probed.add(upstream.id())));
+        private long now = 1_000 * MILLIS;
+
+        private int served(long millis, long deadlineMillis, long serviceMillis) {
+            int served = 0;
+            for (long end = now + millis * MILLIS; now < end; now += 20 * MILLIS) {
+                long deadline = now + deadlineMillis * MILLIS;
+                CompletableFuture<Dispatch> dispatch = dispatcher.acquire(
+                        new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, Origin.unknown(), "route"), now);
+                List.copyOf(probed)
+                        .forEach(upstream ->
+                                dispatcher.recordProbeResponse(upstream, new ReportedLoad(0, 3, 100), now + MILLIS));
+                probed.clear();
+                if (dispatch.isDone() && !dispatch.isCompletedExceptionally()) {
+                    served++;
+                    DispatchResult response = new DispatchResult(
+                            DispatchResult.Kind.ANSWERED, Optional.of(new ReportedLoad(1, 3, 100)), false);
+                    dispatch.join().complete(response, now + serviceMillis * MILLIS);
+                }
+            }
+            return served;
+        }
+
+        @Test
+        void isServedSoonAfterUpstreamsAreFast() {
+            dispatcher.setUpstreams(List.of(new Upstream(new UpstreamId("10.0.0.1", 80), "a")), now);
+            dispatcher.setMeasuringBudget(2_000);
+            assertThat(served(2_000, 10_000, 3_000)).isAtLeast(50);
+            now += 3_000 * MILLIS;
+            served(5_000, 1_000, 160);
+
+            assertThat(served(2_000, 1_000, 160)).isEqualTo(100);
+        }
+    }
+}
