Do not take a pause of a process for the service time of the calls in progress

Callers saw: from the moment a coordinator went on after standing still for 17 s, it refused every call of its service within 6 ms, for as long as it ran.

Cause: the coordinator measures a call from its grant to the message that it ended. The messages that had arrived meanwhile were all handled at the end of the pause, so about nine calls of 150 ms counted 17 s each. The mean service time rose above 2 s, and with it the expected wait above a quarter of the time to the target.

Change: a response that is recorded after the deadline of its call is no measurement, neither of the service time nor of the latency, load and speed of its upstream. The daemon of the caller ends a call by its deadline, so only a pause or a delayed message can make it that late. The same holds for the dispatcher that daemons use without a coordinator.

--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -359,13 +359,18 @@
         synchronized (this) {
             UpstreamState state = dispatch.state;
             state.inFlight--;
-            if (state.usable()) {
+            boolean delayedResponse = dispatch.request.isDelayed(result, nowNanos);
+            if (state.usable() && delayedResponse) {
+                outlierDetector.recordInconclusive(state, dispatch.trial, nowNanos);
+            } else if (state.usable()) {
                 recordLoad(state, result, nowNanos);
                 recordOutcome(dispatch, result, nowNanos);
             }
             if (result.kind() == DispatchResult.Kind.ANSWERED) {
-                serviceTimes.recordResponse(dispatch.request.kind(), nowNanos - dispatch.startNanos, nowNanos);
                 state.idleConnections.release(dispatch.request.origin().daemon(), nowNanos);
+                if (!delayedResponse) {
+                    serviceTimes.recordResponse(dispatch.request.kind(), nowNanos - dispatch.startNanos, nowNanos);
+                }
             }
             if (result.leaving()) {
                 setLeaving(state.sameProcessIn(states));
--- a/core/src/main/java/org/sardinepost/core/routing/DispatchRequest.java
+++ b/core/src/main/java/org/sardinepost/core/routing/DispatchRequest.java
@@ -60,6 +60,14 @@
                 deadlineNanos, depth, bodyBytes, excluded, targetNanos, priority, origin, kind, untilNanos);
     }
 
+    /**
+     * Returns whether a response recorded now says nothing about its upstream. The daemon of the caller ends the call at
+     * its deadline, so a response that is recorded later was delayed on its way, or this process was paused.
+     */
+    boolean isDelayed(DispatchResult result, long nowNanos) {
+        return result.kind() == DispatchResult.Kind.ANSWERED && deadlineNanos - nowNanos < 0;
+    }
+
     boolean isClosed(UpstreamId upstream, long nowNanos) {
         Long untilNanos = closedUntilNanos.get(upstream);
         return untilNanos != null && untilNanos - nowNanos > 0;
--- a/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
@@ -62,7 +62,7 @@
             if (!mustQueue(request)) {
                 UpstreamState state = selectUpstream(request, nowNanos);
                 if (state != null) {
-                    return CompletableFuture.completedFuture(grant(state, nowNanos));
+                    return CompletableFuture.completedFuture(grant(state, request, nowNanos));
                 }
             }
             RefusedException refusal = enqueueOrRefuse(call, nowNanos);
@@ -88,14 +88,14 @@
         return selector.select(request.excluded(), averages, nowNanos);
     }
 
-    private GrantedDispatch grant(UpstreamState state, long nowNanos) {
+    private GrantedDispatch grant(UpstreamState state, DispatchRequest request, long nowNanos) {
         state.inFlight++;
         inFlight++;
         boolean trial = state.ejection.trialDue(nowNanos);
         if (trial) {
             state.ejection.trialStarted();
         }
-        return new GrantedDispatch(state, trial, nowNanos);
+        return new GrantedDispatch(state, request, trial, nowNanos);
     }
 
     private RefusedException enqueueOrRefuse(QueuedCall call, long nowNanos) {
@@ -310,7 +310,7 @@
             if (state == null) {
                 completions.refuseExpired(List.of(call));
             } else {
-                completions.grant(call, grant(state, nowNanos));
+                completions.grant(call, grant(state, call.request(), nowNanos));
             }
             call = queue.peek();
         }
@@ -345,7 +345,9 @@
             result.retryAfter()
                     .ifPresent(delay ->
                             closedUpstreams.record(state.id(), state.upstream().instance(), delay, nowNanos));
-            if (state.usable()) {
+            if (state.usable() && dispatch.request.isDelayed(result, nowNanos)) {
+                outlierDetector.recordInconclusive(state, dispatch.trial, nowNanos);
+            } else if (state.usable()) {
                 recordLoad(state, result, nowNanos);
                 outlierDetector.record(state, result.kind(), dispatch.trial, nowNanos - dispatch.startNanos, nowNanos);
             }
@@ -393,12 +395,14 @@
 
     private final class GrantedDispatch implements Dispatch {
         private final UpstreamState state;
+        private final DispatchRequest request;
         private final boolean trial;
         private final long startNanos;
         private boolean released;
 
-        GrantedDispatch(UpstreamState state, boolean trial, long startNanos) {
+        GrantedDispatch(UpstreamState state, DispatchRequest request, boolean trial, long startNanos) {
             this.state = state;
+            this.request = request;
             this.trial = trial;
             this.startNanos = startNanos;
         }
--- a/core/src/main/java/org/sardinepost/core/routing/OutlierDetector.java
+++ b/core/src/main/java/org/sardinepost/core/routing/OutlierDetector.java
@@ -120,7 +120,8 @@
         }
     }
 
-    private static void recordInconclusive(UpstreamState state, boolean trial, long nowNanos) {
+    /** Records the end of a call that says nothing about the upstream. */
+    void recordInconclusive(UpstreamState state, boolean trial, long nowNanos) {
         if (trial) {
             state.ejection.trialInconclusive(nowNanos);
         }
--- a/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
@@ -6,11 +6,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sardinepost.core.call.RefusedException;
@@ -368,6 +370,48 @@
         }
     }
 
+    /** Guards against a pause of this process being taken for the service time of the calls that were in progress. */
+    @Nested
+    class ResponsesRecordedAfterAPause {
+        private final CentralDispatcher dispatcher =
+                new CentralDispatcher(DispatcherSettings.of(3, "a"), new SplittableRandom(1), Optional.empty());
+        private long now = 1_000 * MILLIS;
+
+        private CompletableFuture<Dispatch> call() {
+            long target = now + 400 * MILLIS;
+            return dispatcher.acquire(
+                    new DispatchRequest(
+                            now + 1_200 * MILLIS, 0, 0, Set.of(), target, 0, Origin.unknown(), "route", Map.of()),
+                    now);
+        }
+
+        /** Sends four calls, and records their responses after the given time. */
+        private void respondAfter(long millis) {
+            List<CompletableFuture<Dispatch>> calls = List.of(call(), call(), call(), call());
+            now += millis * MILLIS;
+            calls.forEach(call -> call.join().complete(DispatchResult.of(DispatchResult.Kind.ANSWERED), now));
+        }
+
+        @Test
+        void doNotShortenTheQueue() {
+            dispatcher.setUpstreams(
+                    List.of(
+                            new Upstream(new UpstreamId("10.0.0.1", 80), "a"),
+                            new Upstream(new UpstreamId("10.0.0.2", 80), "a")),
+                    now);
+            respondAfter(100);
+            respondAfter(17_000);
+            List<CompletableFuture<Dispatch>> calls =
+                    Stream.generate(this::call).limit(8).toList();
+
+            assertThat(calls.stream().filter(call -> !call.isDone()).count()).isAtLeast(3);
+            assertThat(calls.stream()
+                            .filter(CompletableFuture::isCompletedExceptionally)
+                            .count())
+                    .isEqualTo(0);
+        }
+    }
+
     /** Guards against a kind of call that stays refused after its upstreams have become fast again. */
     @Nested
     class KindRefusedForItsServiceTime {
--- a/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
@@ -16,7 +16,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against services whose calls are all refused although their upstreams are idle. */
-@Tag("known-red")
 final class ServiceLockoutTest {
     private static final long MILLIS = 1_000_000L;
 
@@ -58,6 +57,7 @@
 
     /** Guards against an expected wait that no call can shorten, since each is refused for it. */
     @Nested
+    @Tag("known-red")
     class UpstreamsLeftAfterASlowPhase {
         @ParameterizedTest
         @ValueSource(ints = {1, 2, 3})
@@ -74,6 +74,7 @@
     }
 
     @Nested
+    @Tag("known-red")
     class SingleUpstream {
         @Test
         void isUsedWhileItIsIdle() {
@@ -86,6 +87,7 @@
 
     /** Guards against calls of another coordinator that are still assumed to be in progress after the last report. */
     @Nested
+    @Tag("known-red")
     class CallsOfAnotherCoordinator {
         @Test
         void areForgottenWithoutReports() {
@@ -98,6 +100,7 @@
 
     /** Guards against waiting for a slowdown to end that is not that of a noisy neighbor. */
     @Nested
+    @Tag("known-red")
     class EveryHostSlow {
         @Test
         void servesCallsThatStillMeetTheirDeadline() {
@@ -112,6 +115,7 @@
 
     /** Guards against a kind of call that stays refused although its upstreams have become fast again. */
     @Nested
+    @Tag("known-red")
     class KindRefusedForItsServiceTime {
         private final List<UpstreamId> probed = new ArrayList<>();
         private final CentralDispatcher dispatcher = new CentralDispatcher(
