Queue the trial calls of a route that is refused for its service time, and believe their responses

Callers saw: once the typical service time of a route exceeded what its deadline allows, each call of the route was refused, also long after its upstreams had become fast again.

Where upstreams are probed, no upstream is a candidate without a report of the last 10 ms, so the trial call went on to the admission check, which refused it for the same service time; its start was never recorded either. And a trial call that got through only moved the mean by 4%, so that recovery took tens of seconds.

Change: a trial call is queued and placed as if the service time of its kind were unknown, and its response replaces the outdated mean.

--- a/core/src/main/java/org/sardinepost/core/admission/PriorityCallQueue.java
+++ b/core/src/main/java/org/sardinepost/core/admission/PriorityCallQueue.java
@@ -43,14 +43,14 @@
      *
      * @param typicalNanos the typical service time of a call; 0 while it is unknown
      */
-    public int callsAhead(DispatchRequest request, ToLongFunction<DispatchRequest> typicalNanos, long nowNanos) {
-        boolean canMeetTarget =
-                QueueAdmissionPolicy.canMeetTarget(request, typicalNanos.applyAsLong(request), nowNanos);
+    public int callsAhead(QueuedCall call, ToLongFunction<QueuedCall> typicalNanos, long nowNanos) {
+        DispatchRequest request = call.request();
+        boolean canMeetTarget = QueueAdmissionPolicy.canMeetTarget(request, typicalNanos.applyAsLong(call), nowNanos);
         int count = 0;
         for (Entry entry : entries) {
             DispatchRequest other = entry.call().request();
             boolean otherCanMeetTarget =
-                    QueueAdmissionPolicy.canMeetTarget(other, typicalNanos.applyAsLong(other), nowNanos);
+                    QueueAdmissionPolicy.canMeetTarget(other, typicalNanos.applyAsLong(entry.call()), nowNanos);
             boolean isAhead =
                     otherCanMeetTarget == canMeetTarget ? other.priority() <= request.priority() : otherCanMeetTarget;
             if (isAhead) {
@@ -66,7 +66,7 @@
      * @param blocked calls that cannot be dispatched now
      * @param typicalNanos the typical service time of a call; 0 while it is unknown
      */
-    public Optional<Entry> next(Set<QueuedCall> blocked, ToLongFunction<DispatchRequest> typicalNanos, long nowNanos) {
+    public Optional<Entry> next(Set<QueuedCall> blocked, ToLongFunction<QueuedCall> typicalNanos, long nowNanos) {
         Entry best = null;
         boolean bestCanMeetTarget = false;
         for (Entry entry : entries) {
@@ -75,7 +75,7 @@
             }
             DispatchRequest request = entry.call().request();
             boolean canMeetTarget =
-                    QueueAdmissionPolicy.canMeetTarget(request, typicalNanos.applyAsLong(request), nowNanos);
+                    QueueAdmissionPolicy.canMeetTarget(request, typicalNanos.applyAsLong(entry.call()), nowNanos);
             boolean isBetter = best == null
                     || (canMeetTarget && !bestCanMeetTarget)
                     || (canMeetTarget == bestCanMeetTarget
@@ -89,16 +89,14 @@
     }
 
     /** Removes and returns the calls that were queued for too long or can no longer meet their deadline. */
-    public List<QueuedCall> removeExpired(ToLongFunction<DispatchRequest> typicalNanos, long nowNanos) {
+    public List<QueuedCall> removeExpired(ToLongFunction<QueuedCall> typicalNanos, long nowNanos) {
         List<QueuedCall> expiredCalls = new ArrayList<>();
         Iterator<Entry> iterator = entries.iterator();
         while (iterator.hasNext()) {
             Entry entry = iterator.next();
             boolean expired = entry.queueDeadlineNanos() - nowNanos <= 0
                     || QueueAdmissionPolicy.cannotMeetDeadline(
-                            entry.call().request(),
-                            typicalNanos.applyAsLong(entry.call().request()),
-                            nowNanos);
+                            entry.call().request(), typicalNanos.applyAsLong(entry.call()), nowNanos);
             if (expired) {
                 iterator.remove();
                 expiredCalls.add(entry.call());
--- a/core/src/main/java/org/sardinepost/core/admission/ServiceTimeAverage.java
+++ b/core/src/main/java/org/sardinepost/core/admission/ServiceTimeAverage.java
@@ -20,6 +20,12 @@
         meanLog += Math.max(SMOOTHING, 1.0 / samples) * (logSample - meanLog);
     }
 
+    /** Replaces the mean, which is outdated, by the result of a trial call. */
+    void recordTrial(long durationNanos, long nowNanos) {
+        updatedNanos = nowNanos;
+        meanLog = Math.log((double) Math.max(1, durationNanos));
+    }
+
     void trialStarted(long nowNanos) {
         updatedNanos = nowNanos;
     }
--- a/core/src/main/java/org/sardinepost/core/admission/ServiceTimeEstimator.java
+++ b/core/src/main/java/org/sardinepost/core/admission/ServiceTimeEstimator.java
@@ -57,7 +57,12 @@
 
     /** Records that a trial call was sent, which delays the next one. */
     public void trialStarted(String kind, long nowNanos) {
-        byKind.get(kind).trialStarted(nowNanos);
+        byKind.computeIfAbsent(kind, key -> new ServiceTimeAverage()).trialStarted(nowNanos);
+    }
+
+    /** Records the response to a trial call, which replaces the service time that all calls of the kind were refused for. */
+    public void recordTrial(String kind, long durationNanos, long nowNanos) {
+        byKind.computeIfAbsent(kind, key -> new ServiceTimeAverage()).recordTrial(durationNanos, nowNanos);
     }
 
     /**
--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -72,29 +72,30 @@
     @Override
     public CompletableFuture<Dispatch> acquire(DispatchRequest request, long nowNanos) {
         CompletableFuture<Dispatch> future = new CompletableFuture<>();
-        QueuedCall call = new QueuedCall(request, future);
+        QueuedCall call;
         List<Upstream> toProbe;
         DeferredCompletions completions = new DeferredCompletions();
         synchronized (this) {
-            boolean tooSlow = QueueAdmissionPolicy.cannotMeetDeadline(request, typicalNanos(request), nowNanos);
+            long typicalNanos = serviceTimes.typicalNanos(request.kind());
+            boolean tooSlow = QueueAdmissionPolicy.cannotMeetDeadline(request, typicalNanos, nowNanos);
             if (tooSlow && !trialDue(request, nowNanos)) {
-                return CompletableFuture.failedFuture(deadlineTooShort(request, nowNanos));
+                return CompletableFuture.failedFuture(deadlineTooShort(typicalNanos, nowNanos));
             }
-            if (callsAhead(request, nowNanos) == 0) {
+            call = tooSlow ? QueuedCall.serviceTimeTrial(request, future) : new QueuedCall(request, future);
+            if (callsAhead(call, nowNanos) == 0) {
                 Optional<UpstreamState> state = selectUpstream(call, nowNanos, nowNanos);
                 if (state.isPresent()) {
-                    if (tooSlow) {
-                        serviceTimes.trialStarted(request.kind(), nowNanos);
-                    }
-                    return CompletableFuture.completedFuture(grant(state.get(), request, nowNanos));
+                    recordTrialStart(call, nowNanos);
+                    return CompletableFuture.completedFuture(grant(state.get(), call, nowNanos));
                 }
             }
-            Optional<RefusedException> refusal = checkAdmission(request, nowNanos);
+            Optional<RefusedException> refusal = checkAdmission(call, nowNanos);
             if (refusal.isPresent()) {
                 return CompletableFuture.failedFuture(refusal.get());
             }
+            recordTrialStart(call, nowNanos);
             queue.add(call, nowNanos);
-            toProbe = upstreamsToProbe(request, nowNanos);
+            toProbe = upstreamsToProbe(call, nowNanos);
             if (queue.anyMatch(queued -> !queued.closedUntilNanos().isEmpty())) {
                 // The calls ahead may be waiting for other upstreams than the new one.
                 dispatchQueued(completions, nowNanos);
@@ -115,7 +116,7 @@
             }
         }
         boolean assumeNormalSpeed = nowNanos - queuedNanos >= MAX_PROBE_WAIT_NANOS;
-        return selector.select(states.values(), request, selectionContext(request, nowNanos), assumeNormalSpeed);
+        return selector.select(states.values(), request, selectionContext(call, nowNanos), assumeNormalSpeed);
     }
 
     /** Returns whether to send a call for which the typical service time is too long, in case that it has changed. */
@@ -123,23 +124,31 @@
         return request.deadlineNanos() - nowNanos > 0 && serviceTimes.trialDue(request.kind(), nowNanos);
     }
 
+    private void recordTrialStart(QueuedCall call, long nowNanos) {
+        if (call.serviceTimeTrial()) {
+            serviceTimes.trialStarted(call.request().kind(), nowNanos);
+        }
+    }
+
     private void sendProbes(List<Upstream> upstreams) {
         probe.ifPresent(loadProbe -> upstreams.forEach(loadProbe::send));
     }
 
-    private SelectionContext selectionContext(DispatchRequest request, long nowNanos) {
-        return new SelectionContext(averages, typicalNanos(request), lastSlotPolicy, probe.isPresent(), nowNanos);
+    private SelectionContext selectionContext(QueuedCall call, long nowNanos) {
+        return new SelectionContext(averages, typicalNanos(call), lastSlotPolicy, probe.isPresent(), nowNanos);
     }
 
-    private long typicalNanos(DispatchRequest request) {
-        return serviceTimes.typicalNanos(request.kind());
+    private long typicalNanos(QueuedCall call) {
+        return call.serviceTimeTrial()
+                ? 0
+                : serviceTimes.typicalNanos(call.request().kind());
     }
 
-    private List<Upstream> upstreamsToProbe(DispatchRequest request, long nowNanos) {
+    private List<Upstream> upstreamsToProbe(QueuedCall call, long nowNanos) {
         if (probe.isEmpty()) {
             return List.of();
         }
-        return selector.probeTargets(states.values(), request, selectionContext(request, nowNanos)).stream()
+        return selector.probeTargets(states.values(), call.request(), selectionContext(call, nowNanos)).stream()
                 .filter(state -> probeRateLimiter.tryAcquire(state, nowNanos))
                 .map(UpstreamState::upstream)
                 .toList();
@@ -170,7 +179,8 @@
         completions.complete(nowNanos);
     }
 
-    private Optional<RefusedException> checkAdmission(DispatchRequest request, long nowNanos) {
+    private Optional<RefusedException> checkAdmission(QueuedCall call, long nowNanos) {
+        DispatchRequest request = call.request();
         if (outlierDetector.usableCount() == 0) {
             return Optional.of(
                     new RefusedException(RefusalReason.NO_UPSTREAM, "the service has no upstream that accepts calls")
@@ -181,11 +191,11 @@
                             RefusalReason.NO_UPSTREAM, "every upstream has asked the calling daemon for no calls")
                     .withRetryAfter(retryAfter(nowNanos)));
         }
-        int callsAhead = callsAhead(request, nowNanos);
-        int freeSlots = selector.freeSlots(states.values(), request, selectionContext(request, nowNanos));
+        int callsAhead = callsAhead(call, nowNanos);
+        int freeSlots = selector.freeSlots(states.values(), request, selectionContext(call, nowNanos));
         // The completion interval only decides while slots are in use: otherwise no call would be served to correct it.
         long waitNanos = Math.max(0, callsAhead + 1 - freeSlots) * completionIntervalNanos();
-        if (QueueAdmissionPolicy.mayQueue(request, waitNanos, typicalNanos(request), nowNanos)) {
+        if (QueueAdmissionPolicy.mayQueue(request, waitNanos, typicalNanos(call), nowNanos)) {
             return Optional.empty();
         }
         return Optional.of(new RefusedException(
@@ -202,14 +212,14 @@
                         .allMatch(state -> request.isClosed(state.id(), nowNanos));
     }
 
-    private int callsAhead(DispatchRequest request, long nowNanos) {
-        return queue.callsAhead(request, this::typicalNanos, nowNanos);
+    private int callsAhead(QueuedCall call, long nowNanos) {
+        return queue.callsAhead(call, this::typicalNanos, nowNanos);
     }
 
-    private RefusedException deadlineTooShort(DispatchRequest request, long nowNanos) {
+    private RefusedException deadlineTooShort(long typicalNanos, long nowNanos) {
         return new RefusedException(
                         RefusalReason.DEADLINE_TOO_SHORT,
-                        "the typical service time is " + typicalNanos(request) / 1_000_000 + " ms")
+                        "the typical service time is " + typicalNanos / 1_000_000 + " ms")
                 .withRetryAfter(retryAfter(nowNanos));
     }
 
@@ -229,19 +239,19 @@
         return serviceTimes.meanNanos() / Math.max(1, usableSlots);
     }
 
-    private GrantedDispatch grant(UpstreamState state, DispatchRequest request, long nowNanos) {
+    private GrantedDispatch grant(UpstreamState state, QueuedCall call, long nowNanos) {
         boolean inLastSlot = state.slots > 1 && state.inFlight >= state.slots - 1;
         if (inLastSlot) {
             lastSlotPolicy.recordUse(nowNanos);
         }
         state.inFlight++;
         state.hasReceivedCall = true;
-        state.idleConnections.acquire(request.origin().daemon());
+        state.idleConnections.acquire(call.request().origin().daemon());
         boolean trial = state.ejection.trialDue(nowNanos);
         if (trial) {
             state.ejection.trialStarted();
         }
-        return new GrantedDispatch(state, request, inLastSlot, trial, nowNanos);
+        return new GrantedDispatch(state, call, inLastSlot, trial, nowNanos);
     }
 
     private void removeCancelled(QueuedCall call) {
@@ -343,7 +353,7 @@
             QueuedCall call = next.get().call();
             Optional<UpstreamState> state = selectUpstream(call, next.get().queuedNanos(), nowNanos);
             if (state.isEmpty()) {
-                List<Upstream> toProbe = upstreamsToProbe(call.request(), nowNanos);
+                List<Upstream> toProbe = upstreamsToProbe(call, nowNanos);
                 completions.thenRun(() -> sendProbes(toProbe));
                 if (call.request().closedUntilNanos().isEmpty()) {
                     return;
@@ -352,7 +362,7 @@
                 continue;
             }
             queue.remove(call);
-            completions.grant(call, grant(state.get(), call.request(), nowNanos));
+            completions.grant(call, grant(state.get(), call, nowNanos));
         }
     }
 
@@ -371,7 +381,7 @@
             if (result.kind() == DispatchResult.Kind.ANSWERED) {
                 state.idleConnections.release(dispatch.request.origin().daemon(), nowNanos);
                 if (!delayedResponse) {
-                    serviceTimes.recordResponse(dispatch.request.kind(), nowNanos - dispatch.startNanos, nowNanos);
+                    recordServiceTime(dispatch, nowNanos);
                 }
             }
             if (result.leaving()) {
@@ -383,6 +393,15 @@
         completions.complete(nowNanos);
     }
 
+    private void recordServiceTime(GrantedDispatch dispatch, long nowNanos) {
+        String kind = dispatch.request.kind();
+        long durationNanos = nowNanos - dispatch.startNanos;
+        if (dispatch.serviceTimeTrial) {
+            serviceTimes.recordTrial(kind, durationNanos, nowNanos);
+        }
+        serviceTimes.recordResponse(kind, durationNanos, nowNanos);
+    }
+
     /** Normalizes the latency by the typical latency of the kind of call before passing it to the outlier detector. */
     private void recordOutcome(GrantedDispatch dispatch, DispatchResult result, long nowNanos) {
         long typicalNanos = serviceTimes.typicalNanos(dispatch.request.kind());
@@ -430,15 +449,16 @@
     private final class GrantedDispatch implements Dispatch {
         private final UpstreamState state;
         private final DispatchRequest request;
+        private final boolean serviceTimeTrial;
         private final boolean inLastSlot;
         private final boolean trial;
         private final long startNanos;
         private boolean released;
 
-        GrantedDispatch(
-                UpstreamState state, DispatchRequest request, boolean inLastSlot, boolean trial, long startNanos) {
+        GrantedDispatch(UpstreamState state, QueuedCall call, boolean inLastSlot, boolean trial, long startNanos) {
             this.state = state;
-            this.request = request;
+            this.request = call.request();
+            this.serviceTimeTrial = call.serviceTimeTrial();
             this.inLastSlot = inLastSlot;
             this.trial = trial;
             this.startNanos = startNanos;
--- a/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
@@ -113,7 +113,6 @@
 
     /** Guards against a kind of call that stays refused although its upstreams have become fast again. */
     @Nested
-    @Tag("known-red")
     class KindRefusedForItsServiceTime {
         private final List<UpstreamId> probed = new ArrayList<>();
         private final CentralDispatcher dispatcher = new CentralDispatcher(
