Forget reported calls of other daemons after half a second without a report

Callers saw: calls of a service expired in the queue ('no upstream had capacity in time') although its upstreams were idle.

Cause: the coordinator takes reported calls that it has not placed itself for calls of others, and its estimate for an upstream without a recent report goes back to the mean of all reports. Once that mean fills the slots, as while another coordinator places calls too, every upstream looks full, gets neither a call nor a probe, and so never reports that the others have ended. It lasted as long as the process.

Change: without any report for half a second the mean counts as unknown, and the next report starts a new one. Then calls or probes reach an upstream again, and their reports decide.

--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -431,7 +431,7 @@
     private void recordReportedLoad(UpstreamState state, ReportedLoad load, int ownInFlight, long nowNanos) {
         state.slots = load.slots();
         int otherInFlight = Math.max(0, load.inFlight() - ownInFlight);
-        averages.recordOtherInFlight(otherInFlight);
+        averages.recordOtherInFlight(otherInFlight, nowNanos);
         state.load.recordResponse(otherInFlight, nowNanos);
         state.hostSlowdown.recordReport(load.slowdownPercent() / 100.0, nowNanos);
     }
--- a/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/JointLoadDispatcher.java
@@ -273,7 +273,7 @@
         UpstreamState state = states.get(upstream);
         if (state != null && state.usable()) {
             int otherInFlight = Math.max(0, load.inFlight() - state.inFlight);
-            averages.recordOtherInFlight(otherInFlight);
+            averages.recordOtherInFlight(otherInFlight, nowNanos);
             state.load.recordResponse(otherInFlight, nowNanos);
         }
     }
@@ -374,7 +374,7 @@
         boolean refused = result.kind() == DispatchResult.Kind.REFUSED;
         int ownInFlight = refused ? state.inFlight - 1 : state.inFlight;
         int otherInFlight = Math.max(0, load.inFlight() - ownInFlight);
-        averages.recordOtherInFlight(otherInFlight);
+        averages.recordOtherInFlight(otherInFlight, nowNanos);
         if (refused) {
             state.load.recordRefusal(otherInFlight, nowNanos);
         } else {
--- a/core/src/main/java/org/sardinepost/core/routing/LoadEstimate.java
+++ b/core/src/main/java/org/sardinepost/core/routing/LoadEstimate.java
@@ -45,7 +45,7 @@
 
     /** Returns the expected number of calls that other daemons have in progress now. */
     double expectedOtherInFlight(ServiceAverages averages, long nowNanos) {
-        double mean = averages.meanOtherInFlight();
+        double mean = averages.meanOtherInFlight(nowNanos);
         double peerWeight = averages.peerWeight();
         double peerDeviation = peerWeight * (peerInFlight - averages.meanPeerInFlight());
         if (!known) {
--- a/core/src/main/java/org/sardinepost/core/routing/ServiceAverages.java
+++ b/core/src/main/java/org/sardinepost/core/routing/ServiceAverages.java
@@ -12,14 +12,21 @@
      */
     private static final double PEER_GAIN = 0.3;
 
+    /** The calls counted by older reports have ended; whether others are in progress is unknown. */
+    private static final long MAX_REPORT_AGE_NANOS = 500_000_000;
+
     private double meanReportedInFlight;
+    private long reportedNanos;
     private double latencyNanos = INITIAL_LATENCY_NANOS;
     private boolean latencyKnown;
     private double peerWeight;
     private double meanPeerInFlight;
 
-    void recordOtherInFlight(int otherInFlight) {
-        meanReportedInFlight += SMOOTHING * (otherInFlight - meanReportedInFlight);
+    void recordOtherInFlight(int otherInFlight, long nowNanos) {
+        meanReportedInFlight = reportsAreRecent(nowNanos)
+                ? meanReportedInFlight + SMOOTHING * (otherInFlight - meanReportedInFlight)
+                : otherInFlight;
+        reportedNanos = nowNanos;
     }
 
     void recordLatency(long nanos) {
@@ -34,11 +41,16 @@
     }
 
     /**
-     * Returns the mean reported on responses, which counts the calls of all daemons; the mean of the peers if no
-     * response reports a load.
+     * Returns the mean reported on responses, which counts the calls of all daemons; the mean of the peers if no recent
+     * response reports a load. Without this limit, upstreams that look full would get no call whose response shows that
+     * they are idle.
      */
-    double meanOtherInFlight() {
-        return meanReportedInFlight > 0 ? meanReportedInFlight : meanPeerInFlight;
+    double meanOtherInFlight(long nowNanos) {
+        return reportsAreRecent(nowNanos) && meanReportedInFlight > 0 ? meanReportedInFlight : meanPeerInFlight;
+    }
+
+    private boolean reportsAreRecent(long nowNanos) {
+        return nowNanos - reportedNanos <= MAX_REPORT_AGE_NANOS;
     }
 
     /** Returns the mean over the known peers only. */
