Start calls on slowed-down hosts if all hosts of a service stay slow

Callers saw: while every upstream of a service reported a slowdown, each call waited in the queue and was refused, although a response at that speed would have met its deadline.

Cause: calls wait for the slowdown by a noisy neighbor to end, 100 to 200 ms. Nothing limited that to slowdowns that end: with all hosts slow for good no call started at all.

Change: if all reports of the service have shown a slowdown for a second, calls start as if the hosts were at normal speed. One report of normal speed ends this.

Measured: ServiceLockoutTest.EveryHostSlow served no call before and at least half of them now, late but within their deadline. CentralDispatcherTest with a quarter of the hosts slowed down passes unchanged.

--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -49,6 +49,7 @@
     private final ProbeRateLimiter probeRateLimiter = new ProbeRateLimiter();
     private final ServiceAverages averages = new ServiceAverages();
     private final OutlierDetector outlierDetector = new OutlierDetector(averages);
+    private final ServiceSlowdown slowdown = new ServiceSlowdown();
     private final LastSlotPolicy lastSlotPolicy = new LastSlotPolicy();
     private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
     private final PriorityCallQueue queue = new PriorityCallQueue();
@@ -135,7 +136,8 @@
     }
 
     private SelectionContext selectionContext(QueuedCall call, long nowNanos) {
-        return new SelectionContext(averages, typicalNanos(call), lastSlotPolicy, probe.isPresent(), nowNanos);
+        return new SelectionContext(
+                averages, typicalNanos(call), lastSlotPolicy, probe.isPresent(), slowdown.persists(), nowNanos);
     }
 
     private long typicalNanos(QueuedCall call) {
@@ -434,6 +436,7 @@
         averages.recordOtherInFlight(otherInFlight, nowNanos);
         state.load.recordResponse(otherInFlight, nowNanos);
         state.hostSlowdown.recordReport(load.slowdownPercent() / 100.0, nowNanos);
+        slowdown.recordReport(state.hostSlowdown.slow(), nowNanos);
     }
 
     /**
--- a/core/src/main/java/org/sardinepost/core/routing/CentralUpstreamSelector.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralUpstreamSelector.java
@@ -86,12 +86,7 @@
     }
 
     private static boolean knownSlow(UpstreamState state, SelectionContext context) {
-        if (!context.probingEnabled() || !state.hostSlowdown.reportsSlowdown()) {
-            return false;
-        }
-        return state.hostSlowdown.fresh(context.nowNanos())
-                ? !SlowHostPolicy.shouldStartNow(state.hostSlowdown.factor(), context.typicalNanos())
-                : state.hostSlowdown.recentlySlow(context.nowNanos());
+        return context.probingEnabled() && state.hostSlowdown.reportsSlowdown() && isWorthWaitingFor(state, context);
     }
 
     /** Returns the upstreams with a free slot whose slowdown is unknown, the cheapest first. */
@@ -152,10 +147,19 @@
             return true;
         }
         if (!state.hostSlowdown.fresh(context.nowNanos())) {
-            return state.probeTimedOut(context.nowNanos())
-                    || (assumeNormalSpeed && !state.hostSlowdown.recentlySlow(context.nowNanos()));
+            return state.probeTimedOut(context.nowNanos()) || (assumeNormalSpeed && !isWorthWaitingFor(state, context));
         }
-        return SlowHostPolicy.shouldStartNow(state.hostSlowdown.factor(), context.typicalNanos());
+        return !isWorthWaitingFor(state, context);
+    }
+
+    /** Returns whether a call should wait because the last report of the host showed a slowdown that will end. */
+    private static boolean isWorthWaitingFor(UpstreamState state, SelectionContext context) {
+        if (context.slowdownPersists()) {
+            return false;
+        }
+        return state.hostSlowdown.fresh(context.nowNanos())
+                ? !SlowHostPolicy.shouldStartNow(state.hostSlowdown.factor(), context.typicalNanos())
+                : state.hostSlowdown.recentlySlow(context.nowNanos());
     }
 
     private static double estimatedInFlight(UpstreamState state, SelectionContext context) {
--- a/core/src/main/java/org/sardinepost/core/routing/HostSlowdown.java
+++ b/core/src/main/java/org/sardinepost/core/routing/HostSlowdown.java
@@ -47,9 +47,14 @@
         return nowNanos - reportedNanos <= MAX_FRESH_AGE_NANOS;
     }
 
+    /** Returns whether the last report showed a slowdown. */
+    boolean slow() {
+        return factor >= SLOW_FACTOR;
+    }
+
     /** Returns whether the last report showed a slowdown that may still persist. */
     boolean recentlySlow(long nowNanos) {
-        return factor >= SLOW_FACTOR && nowNanos - reportedNanos <= NOISY_NEIGHBOR_NANOS;
+        return slow() && nowNanos - reportedNanos <= NOISY_NEIGHBOR_NANOS;
     }
 
     long reportedNanos() {
--- a/core/src/main/java/org/sardinepost/core/routing/SelectionContext.java
+++ b/core/src/main/java/org/sardinepost/core/routing/SelectionContext.java
@@ -9,6 +9,8 @@
  * @param typicalNanos the typical service time of the call; 0 while it is unknown
  * @param lastSlotPolicy whether calls may use the last slot of an upstream
  * @param probingEnabled whether upstreams are probed for their slowdown
+ * @param slowdownPersists whether the hosts of all upstreams are slowed down, so that waiting for one to recover is of no
+ *     use
  * @param nowNanos the time of the selection, on the monotonic clock
  */
 record SelectionContext(
@@ -16,4 +18,5 @@
         long typicalNanos,
         LastSlotPolicy lastSlotPolicy,
         boolean probingEnabled,
+        boolean slowdownPersists,
         long nowNanos) {}
--- a/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
@@ -10,7 +10,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -97,7 +96,6 @@
 
     /** Guards against waiting for a slowdown to end that is not that of a noisy neighbor. */
     @Nested
-    @Tag("known-red")
     class EveryHostSlow {
         @Test
         void servesCallsThatStillMeetTheirDeadline() {
