--- a/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
+++ b/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
@@ -25,7 +25,6 @@
     private static final long PROBE_ROUND_TRIP_NANOS = 2 * MILLIS;
     private static final long REFUSAL_LATENCY_NANOS = 2 * MILLIS;
     private static final long TICK_NANOS = 8 * MILLIS;
-    private static final double SLOW_FACTOR = 5;
     private static final int SLOTS = 3;
 
     private final SplittableRandom random;
@@ -38,6 +37,9 @@
     private long now;
     private long sequence;
 
+    /** The slowdown of a host by a noisy neighbor. */
+    double slowFactor = 5;
+
     /** Fraction of the calls that upstreams refuse although they have free slots. */
     double refusalFraction;
 
@@ -338,7 +340,7 @@
         long slowdownWindow = now / SLOWDOWN_WINDOW_NANOS;
         SplittableRandom windowRandom =
                 new SplittableRandom(slowdownSeed ^ (slowdownWindow * 1_000_003L) ^ (upstream.hashCode() * 31L));
-        return windowRandom.nextDouble() < slowHostFraction ? SLOW_FACTOR : 1;
+        return windowRandom.nextDouble() < slowHostFraction ? slowFactor : 1;
     }
 
     private void tick() {
--- a/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
@@ -106,6 +106,16 @@
             // The service time is 800 ms and the deadline 1,200 ms.
             assertThat(simulation.late).isAtLeast(simulation.calls / 2);
         }
+
+        @Test
+        void servesCallsOnHostsThatAreALittleSlow() {
+            FleetSimulation simulation = new FleetSimulation(3, 10, 1, true);
+            simulation.slowFactor = 1.4;
+            simulation.addArrivals(10, 0, 40_000, 400, 1_000);
+            simulation.resetCountsAt(5_000);
+
+            assertServed(simulation, 0.9);
+        }
     }
 
     /** Guards against a kind of call that stays refused although its upstreams have become fast again. */
