Do not dispatch the call of a caller that has already disconnected

Cause: the watch for a disconnect only waited for the selector to report it. The call was dispatched at once, and the request had reached the upstream before the close was noticed.

Change: the watch reads from the connection once before it waits, and a call whose caller has left is not dispatched. Ruled out as alternatives: a check of the age of the request, since the daemon does not know when the request arrived in the socket.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ActiveCall.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -183,6 +184,7 @@
         connection.watch(dependencies, requestHead, () -> responseFuture.cancel(false));
         if (responseFuture.isDone()) {
             connection.stopWatching();
+            return CompletableFuture.failedFuture(new CancellationException("the caller has disconnected"));
         }
         CompletableFuture<BufferedResponse> guardedResponse = dispatch.get();
         var unused = responseFuture.whenComplete((buffered, failure) -> guardedResponse.cancel(false));
--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
@@ -45,22 +45,18 @@
     }
 
     /**
-     * Reads ahead until {@link #unwatch}.
+     * Reads ahead until {@link #unwatch}. If the caller has already closed the connection, this is noticed before the
+     * method returns.
      *
      * @param onClose run once if the caller closes the connection
      * @param onReadAhead run whenever bytes of further requests were read, with a supplier of their heads
      */
     void watch(Runnable onClose, Consumer<Supplier<Optional<ByteBuffer>>> onReadAhead) {
         ConnectionWatch started = new ConnectionWatch(onClose, onReadAhead);
-        boolean hasBytes;
         synchronized (lock) {
             watch = started;
-            readMoreWhenAvailable(started);
-            hasBytes = !readAhead.isEmpty();
-        }
-        if (hasBytes) {
-            started.reportReadAhead();
         }
+        started.succeeded();
     }
 
     /** Ends the watch. Must be called before the server reads again. */
@@ -117,11 +113,15 @@
             if (watch != firedWatch) {
                 return ReadResult.UNWATCHED;
             }
-            if (super.fill(readAhead.writable()) < 0) {
+            if (!readAhead.isFull() && super.fill(readAhead.writable()) < 0) {
                 watch = null;
                 return ReadResult.CLOSED;
             }
             readMoreWhenAvailable(firedWatch);
+            if (readAhead.isEmpty()) {
+                readAhead.releaseMemory();
+                return ReadResult.NOTHING;
+            }
             return ReadResult.READ;
         }
     }
@@ -153,6 +153,7 @@
 
     private enum ReadResult {
         UNWATCHED,
+        NOTHING,
         READ,
         CLOSED
     }
@@ -181,7 +182,7 @@
                 switch (readAhead(this)) {
                     case READ -> reportReadAhead();
                     case CLOSED -> closed(onClose);
-                    case UNWATCHED -> {}
+                    case NOTHING, UNWATCHED -> {}
                 }
             } catch (IOException e) {
                 closed(onClose);
--- a/daemon/src/main/java/org/sardinepost/daemon/http/ReadAheadBuffer.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/ReadAheadBuffer.java
@@ -42,6 +42,14 @@
         return buffer;
     }
 
+    /** Releases the memory of an empty buffer, which {@link #writable} allocates again. */
+    public void releaseMemory() {
+        if (isEmpty()) {
+            buffer = BufferUtil.EMPTY_BUFFER;
+            returnedBytes = 0;
+        }
+    }
+
     /** Passes bytes on to the server, up to the end of the next head, and returns their number. */
     public int transferTo(ByteBuffer target) {
         int length = Math.min(buffer.remaining(), BufferUtil.space(target));
