Notice a disconnect behind many requests that were sent ahead

A caller that had sent over 4 KiB of requests ahead and then left was not noticed: the call in progress ran on until its deadline.

Cause: a full read-ahead buffer ends the watch, since a disconnect can only be read behind the bytes before it.

Change: the buffer starts at 4 KiB as before and grows to 64 KiB. Behind more bytes a disconnect is still noticed only at the end of the call; closing the connection there would punish callers that wait for their responses.

Evidence: CallTerminationTest.disconnectAfterAnyRequestCancelsUpstreamCall, whose case with 1,000 requests failed before (the upstream call was not cancelled within 10 s). Its other cases (bodies with a length, chunked, sent ahead) passed before; they rule those paths out.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/CallerEndPoint.java
@@ -23,8 +23,11 @@
  * read of the server.
  */
 public final class CallerEndPoint extends SocketChannelEndPoint {
-    /** Bounds the requests that a caller can send ahead; further bytes stay in the socket. */
-    private static final int READ_AHEAD_BYTES = 4 << 10;
+    /**
+     * Bounds the requests that a caller can send ahead. Further bytes stay in the socket, and hide a disconnect until the
+     * end of the call.
+     */
+    private static final int READ_AHEAD_BYTES = 64 << 10;
 
     private final Executor executor;
     private final CallPipeline pipeline = new CallPipeline();
--- a/daemon/src/main/java/org/sardinepost/daemon/http/ReadAheadBuffer.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/ReadAheadBuffer.java
@@ -13,7 +13,9 @@
 public final class ReadAheadBuffer {
     private static final byte[] HTTP2_PREFACE_START = {'P', 'R', 'I', ' '};
 
-    private final int capacity;
+    private static final int INITIAL_CAPACITY = 4 << 10;
+
+    private final int maxCapacity;
     private final HeadBoundaryScanner passedBytes = new HeadBoundaryScanner();
     private ByteBuffer buffer = BufferUtil.EMPTY_BUFFER;
     /** The number of bytes in the buffer that {@link #nextHead} has returned. */
@@ -22,8 +24,9 @@
     private boolean started;
     private boolean http2;
 
-    public ReadAheadBuffer(int capacity) {
-        this.capacity = capacity;
+    /** Creates an empty buffer that grows up to a number of bytes. */
+    public ReadAheadBuffer(int maxCapacity) {
+        this.maxCapacity = maxCapacity;
     }
 
     public boolean isEmpty() {
@@ -31,13 +34,16 @@
     }
 
     public boolean isFull() {
-        return buffer.remaining() >= capacity;
+        return buffer.remaining() >= maxCapacity;
     }
 
     /** Returns the buffer to which bytes from the connection are appended; it is in flush mode, as usual in Jetty. */
     public ByteBuffer writable() {
-        if (buffer.capacity() == 0) {
-            buffer = BufferUtil.allocate(capacity);
+        if (buffer.remaining() == buffer.capacity()) {
+            ByteBuffer larger = BufferUtil.allocate(
+                    Math.max(Math.min(INITIAL_CAPACITY, maxCapacity), Math.min(maxCapacity, 2 * buffer.capacity())));
+            BufferUtil.append(larger, buffer);
+            buffer = larger;
         }
         return buffer;
     }
@@ -74,7 +80,7 @@
         int passed = pass(filled, start, length);
         if (passed < length) {
             ByteBuffer surplus = filled.slice(start + passed, length - passed);
-            buffer = BufferUtil.allocate(Math.max(capacity, surplus.remaining()));
+            buffer = BufferUtil.allocate(Math.max(INITIAL_CAPACITY, surplus.remaining()));
             BufferUtil.append(buffer, surplus);
             filled.limit(start + passed);
         }
--- a/daemon/src/test/java/org/sardinepost/daemon/CallTerminationTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/CallTerminationTest.java
@@ -13,9 +13,13 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.eclipse.jetty.io.Content;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.core.text.Service;
 
@@ -53,6 +57,32 @@
         }
     }
 
+    static Stream<Arguments> requestsBeforeADisconnect() {
+        String head = "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\n";
+        return Stream.of(
+                Arguments.of("a body with a length", head + "Content-Length: 5000\r\n\r\n" + "a".repeat(5_000)),
+                Arguments.of("a chunked body", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+                Arguments.of("a request sent ahead", REQUEST + REQUEST),
+                Arguments.of("a request with a body sent ahead", REQUEST + head + "Content-Length: 3\r\n\r\nabc"),
+                Arguments.of("more requests sent ahead than are read", REQUEST.repeat(1_000)));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("requestsBeforeADisconnect")
+    void disconnectAfterAnyRequestCancelsUpstreamCall(String name, String request) throws Exception {
+        try (ScriptedUpstream upstream = ScriptedUpstream.silent();
+                Daemon daemon = TestDaemon.start(
+                        TestDaemon.settings(),
+                        service(upstream).deadline(Duration.ofHours(1)).build())) {
+            try (Socket callerConnection = connect(daemon)) {
+                send(callerConnection, request);
+                upstream.awaitRequestHead();
+                Thread.sleep(100);
+            }
+            upstream.connectionClosed().get(10, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void pipelinedRequestGetsResponse() throws Exception {
         CompletableFuture<Void> responseAllowed = new CompletableFuture<>();
