--- a/daemon/src/test/java/org/sardinepost/daemon/CallTerminationTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/CallTerminationTest.java
@@ -83,6 +83,24 @@
         }
     }
 
+    @Test
+    void disconnectDuringGracefulShutdownCancelsUpstreamCall() throws Exception {
+        try (ScriptedUpstream upstream = ScriptedUpstream.silent();
+                Daemon daemon = TestDaemon.start(
+                        TestDaemon.settings().drainWait(Duration.ofMillis(1)),
+                        service(upstream).deadline(Duration.ofHours(1)).build())) {
+            CompletableFuture<Void> stopped;
+            try (Socket callerConnection = connect(daemon)) {
+                send(callerConnection, REQUEST);
+                upstream.awaitRequestHead();
+                stopped = daemon.stop();
+                Thread.sleep(500);
+            }
+            upstream.connectionClosed().get(10, TimeUnit.SECONDS);
+            stopped.get(30, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void pipelinedRequestGetsResponse() throws Exception {
         CompletableFuture<Void> responseAllowed = new CompletableFuture<>();
