Release dispatches whose calls must have ended by now

A daemon whose connection to the coordinator breaks loses the messages about the ends of its calls, while the coordinator's own connection to it stays. The coordinator then counted these calls in progress until the daemon restarted or was disconnected; with all slots counted, every call of the service would be refused.

Change: a dispatch is released one second after the deadline of its call, without a result for its upstream. The cancellation of a call that is recorded after its deadline, as at the end of a pause, no longer counts as a slow response either.

Test: PlacementTest.GrantedDispatch.isReleasedAfterItsDeadlineIfItsEndIsNotReported.

--- a/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
+++ b/core/src/main/java/org/sardinepost/core/routing/CentralDispatcher.java
@@ -373,8 +373,8 @@
         synchronized (this) {
             UpstreamState state = dispatch.state;
             state.inFlight--;
-            boolean delayedResponse = dispatch.request.isDelayed(result, nowNanos);
-            if (state.usable() && delayedResponse) {
+            boolean delayed = dispatch.request.isDelayed(result, nowNanos);
+            if (state.usable() && delayed) {
                 outlierDetector.recordInconclusive(state, dispatch.trial, nowNanos);
             } else if (state.usable()) {
                 recordLoad(state, result, nowNanos);
@@ -382,7 +382,7 @@
             }
             if (result.kind() == DispatchResult.Kind.ANSWERED) {
                 state.idleConnections.release(dispatch.request.origin().daemon(), nowNanos);
-                if (!delayedResponse) {
+                if (!delayed) {
                     recordServiceTime(dispatch, nowNanos);
                 }
             }
--- a/core/src/main/java/org/sardinepost/core/routing/DispatchRequest.java
+++ b/core/src/main/java/org/sardinepost/core/routing/DispatchRequest.java
@@ -61,11 +61,13 @@
     }
 
     /**
-     * Returns whether a response recorded now says nothing about its upstream. The daemon of the caller ends the call at
-     * its deadline, so a response that is recorded later was delayed on its way, or this process was paused.
+     * Returns whether a result recorded now says nothing about its upstream. The daemon of the caller ends the call at its
+     * deadline, so a response or cancellation that is recorded later was delayed on its way, or this process was paused.
      */
     boolean isDelayed(DispatchResult result, long nowNanos) {
-        return result.kind() == DispatchResult.Kind.ANSWERED && deadlineNanos - nowNanos < 0;
+        boolean mayBeDelayed =
+                result.kind() == DispatchResult.Kind.ANSWERED || result.kind() == DispatchResult.Kind.CANCELLED;
+        return mayBeDelayed && deadlineNanos - nowNanos < 0;
     }
 
     boolean isClosed(UpstreamId upstream, long nowNanos) {
--- a/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/control/ControlPlane.java
@@ -288,6 +288,7 @@
         membership.tick();
         sourceReader.ifPresent(SharedSourceReader::tick);
         exchange.tick();
+        placement.releaseOverdue();
         peers.dropUnreachable().forEach(messageHandler::removeIncarnation);
         discovery.tick();
         tickStartup();
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/Placement.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/Placement.java
@@ -76,6 +76,11 @@
         server.releaseIncarnation(incarnation);
     }
 
+    /** Releases the dispatches of calls whose deadline has long passed. Runs on the control thread. */
+    public void releaseOverdue() {
+        server.releaseOverdue();
+    }
+
     /** Returns the number of calls that were dispatched locally because the coordinator did not respond in time. */
     public long coordinatorTimeouts() {
         return client.timeouts();
--- a/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementServer.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementServer.java
@@ -8,11 +8,13 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.routing.Dispatch;
+import org.sardinepost.core.routing.DispatchRequest;
 import org.sardinepost.core.routing.DispatchResult;
 import org.sardinepost.core.routing.UpstreamId;
 import org.sardinepost.daemon.log.LogEvent;
@@ -21,11 +23,14 @@
 
 /** Grants dispatches to calls of other daemons. Only the control thread changes the state; metrics read its size. */
 final class PlacementServer {
+    /** The daemon of a call ends it at its deadline, and its message needs far less than this time. */
+    private static final long OVERDUE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final Function<String, Optional<TimedCentralDispatcher>> dispatchers;
     private final PlacementPeers peers;
     private final Executor control;
     private final LongSupplier nanoClock;
-    private final Map<CallKey, CompletableFuture<Dispatch>> calls = new ConcurrentHashMap<>();
+    private final Map<CallKey, RemoteCall> calls = new ConcurrentHashMap<>();
 
     /**
      * Creates a server without calls.
@@ -53,25 +58,38 @@
             peers.send(peer, PlacementMessageCodec.encodeRefusal(request.getCall(), unknownService));
             return;
         }
-        CompletableFuture<Dispatch> future =
-                dispatcher.get().acquire(PlacementMessageCodec.decodeRequest(peer, request, nanoClock.getAsLong()));
+        DispatchRequest dispatchRequest = PlacementMessageCodec.decodeRequest(peer, request, nanoClock.getAsLong());
+        CompletableFuture<Dispatch> future = dispatcher.get().acquire(dispatchRequest);
         if (!future.isDone()) {
             peers.send(peer, PlacementMessageCodec.encodeWaiting(request.getCall()));
         }
         CallKey key = new CallKey(incarnation, request.getCall());
-        calls.put(key, future);
+        calls.put(key, new RemoteCall(future, dispatchRequest.deadlineNanos()));
         var unused =
                 future.whenCompleteAsync((dispatch, failure) -> sendResponse(peer, key, dispatch, failure), control);
     }
 
     /** Releases the dispatch of a call that ended, or removes a call that no longer waits. */
     void handleEnd(long incarnation, PlaceEnd end) {
-        CompletableFuture<Dispatch> future = calls.remove(new CallKey(incarnation, end.getCall()));
-        if (future != null) {
-            release(future, PlacementMessageCodec.decodeEnd(end));
+        RemoteCall call = calls.remove(new CallKey(incarnation, end.getCall()));
+        if (call != null) {
+            release(call, PlacementMessageCodec.decodeEnd(end));
         }
     }
 
+    /**
+     * Releases the dispatches of calls that have ended by now, because the messages about it were lost. Otherwise their
+     * slots would stay in use.
+     */
+    void releaseOverdue() {
+        long nowNanos = nanoClock.getAsLong();
+        List<CallKey> overdue = calls.entrySet().stream()
+                .filter(entry -> nowNanos - entry.getValue().deadlineNanos() > OVERDUE_NANOS)
+                .map(Map.Entry::getKey)
+                .toList();
+        overdue.forEach(key -> release(calls.remove(key), DispatchResult.of(DispatchResult.Kind.CANCELLED)));
+    }
+
     /** Releases all dispatches of a peer process that stopped or was disconnected. */
     void releaseIncarnation(long incarnation) {
         List<CallKey> keys = calls.keySet().stream()
@@ -84,7 +102,8 @@
         return calls.size();
     }
 
-    private void release(CompletableFuture<Dispatch> future, DispatchResult result) {
+    private void release(RemoteCall call, DispatchResult result) {
+        CompletableFuture<Dispatch> future = call.dispatch();
         if (!future.cancel(false) && !future.isCompletedExceptionally()) {
             future.join().complete(result, nanoClock.getAsLong());
         }
@@ -109,4 +128,6 @@
     }
 
     private record CallKey(long incarnation, long call) {}
+
+    private record RemoteCall(CompletableFuture<Dispatch> dispatch, long deadlineNanos) {}
 }
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -97,6 +97,25 @@
             assertThat(acquire(coordinator).upstream()).isEqualTo(UPSTREAM.id());
         }
 
+        /** Guards against slots that stay in use because the message about the end of a call was lost. */
+        @Test
+        void isReleasedAfterItsDeadlineIfItsEndIsNotReported() throws Exception {
+            long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(100);
+            requester
+                    .dispatcher
+                    .acquire(
+                            new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, Origin.unknown(), "route"),
+                            System.nanoTime())
+                    .get(30, TimeUnit.SECONDS);
+            coordinator.placement.releaseOverdue();
+            assertThat(coordinator.placement.remoteDispatches()).isEqualTo(1);
+            Thread.sleep(1_200);
+            coordinator.placement.releaseOverdue();
+
+            assertThat(coordinator.placement.remoteDispatches()).isEqualTo(0);
+            assertThat(acquire(coordinator).upstream()).isEqualTo(UPSTREAM.id());
+        }
+
         @Test
         void isReleasedIfTheUpstreamIsKnownToBeLeaving() {
             requester.dispatcher.setUpstreams(List.of(), System.nanoTime());
