--- a/core/src/test/java/org/sardinepost/core/routing/JointLoadDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/JointLoadDispatcherTest.java
@@ -227,6 +227,15 @@
             assertThat(dispatcher.ejectedUpstreams()).isEqualTo(2);
         }
 
+        /** Guards against a pause of this process being taken for slow upstreams. */
+        @Test
+        void upstreamWhoseResponsesAreRecordedAfterTheirDeadline() {
+            dispatcher.setUpstreams(upstreams(4), now);
+            callsToFirst(200, Kind.ANSWERED, 2 * SECOND_NANOS);
+
+            assertThat(dispatcher.ejectedUpstreams()).isEqualTo(0);
+        }
+
         @Test
         void loadOfUnknownAgeOutOfSelection() {
             dispatcher.setUpstreams(upstreams(2), now);
