--- a/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -380,8 +379,7 @@
         private CompletableFuture<Dispatch> call() {
             long target = now + 400 * MILLIS;
             return dispatcher.acquire(
-                    new DispatchRequest(
-                            now + 1_200 * MILLIS, 0, 0, Set.of(), target, 0, Origin.unknown(), "route", Map.of()),
+                    new DispatchRequest(now + 1_200 * MILLIS, 0, 0, Set.of(), target, 0, Origin.unknown(), "route"),
                     now);
         }
 
--- a/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
+++ b/core/src/test/java/org/sardinepost/core/routing/FleetSimulation.java
@@ -66,12 +66,10 @@
     /** Calls that reached an upstream from a daemon between half a second after it was turned away and the end. */
     int callsToClosed;
 
-    private long pausedFrom = Long.MAX_VALUE;
-    private long pausedUntil = Long.MAX_VALUE;
-    private long slowFrom = Long.MAX_VALUE;
-    private long slowUntil = Long.MAX_VALUE;
-    private double slowPhaseFactor = 1;
-    private int foreignCalls;
+    /** Calls of another coordinator that each upstream reports besides those of this one. */
+    int foreignCalls;
+
+    private long pausedUntil;
 
     private static final int DAEMONS = 2;
     private static final double TURNED_AWAY_FRACTION = 0.4;
@@ -94,8 +92,7 @@
         for (int i = 0; i < upstreamCount; i++) {
             upstreams.add(new UpstreamId("10.0.0." + i, 80));
         }
-        dispatcher.setUpstreams(
-                upstreams.stream().map(id -> new Upstream(id, "a")).toList(), now);
+        setUpstreams(upstreams);
         scheduleAt(TICK_NANOS, this::tick);
         for (int i = 0; i < DAEMONS; i++) {
             closedUpstreams.add(new ClosedUpstreams(random.split()));
@@ -114,50 +111,32 @@
     }
 
     /**
-     * Stops the process of the dispatcher for a time. What reaches it meanwhile is handled at the end; new calls go to
+     * Stops the process of the dispatcher from now on. What reaches it meanwhile is handled at the end; new calls go to
      * another coordinator.
      */
-    void pause(long fromMillis, long untilMillis) {
-        pausedFrom = fromMillis * MILLIS;
-        pausedUntil = untilMillis * MILLIS;
-    }
-
-    /** Multiplies the service time of the calls that start in a time, without a slowdown that upstreams report. */
-    void slowPhase(double factor, long fromMillis, long untilMillis) {
-        slowPhaseFactor = factor;
-        slowFrom = fromMillis * MILLIS;
-        slowUntil = untilMillis * MILLIS;
-    }
-
-    /** Makes upstreams report additional calls of another coordinator for a time. */
-    void addForeignCalls(int callsPerUpstream, long fromMillis, long untilMillis) {
-        scheduleAt(fromMillis * MILLIS, () -> foreignCalls = callsPerUpstream);
-        scheduleAt(untilMillis * MILLIS, () -> foreignCalls = 0);
+    void pauseUntil(long millis) {
+        pausedUntil = millis * MILLIS;
     }
 
     /** Removes all but the first upstreams. */
-    void keepUpstreams(int count, long atMillis) {
-        scheduleAt(
-                atMillis * MILLIS,
-                () -> dispatcher.setUpstreams(
-                        upstreams.subList(0, count).stream()
-                                .map(id -> new Upstream(id, "a"))
-                                .toList(),
-                        now));
+    void keepUpstreams(int count) {
+        setUpstreams(upstreams.subList(0, count));
     }
 
     /** Starts counting calls anew. */
-    void resetCountsAt(long millis) {
-        scheduleAt(millis * MILLIS, () -> {
-            calls = 0;
-            onTime = 0;
-            late = 0;
-            refused = 0;
-        });
+    void resetCounts() {
+        calls = 0;
+        onTime = 0;
+        late = 0;
+        refused = 0;
+    }
+
+    private void setUpstreams(List<UpstreamId> ids) {
+        dispatcher.setUpstreams(ids.stream().map(id -> new Upstream(id, "a")).toList(), now);
     }
 
     private boolean paused() {
-        return now >= pausedFrom && now < pausedUntil;
+        return now < pausedUntil;
     }
 
     private void toDispatcher(Runnable action) {
@@ -268,13 +247,8 @@
         int otherRunning = running.merge(upstream, 1, Integer::sum) - 1;
         double serviceTimeVariation = 0.7 + 0.6 * random.nextDouble();
         double lastSlotFactor = otherRunning >= SLOTS - 1 ? 1.7 : 1;
-        double phaseFactor = now >= slowFrom && now < slowUntil ? slowPhaseFactor : 1;
-        long serviceNanos = (long) (serviceMillis
-                * MILLIS
-                * serviceTimeVariation
-                * lastSlotFactor
-                * phaseFactor
-                * slowdownFactor(upstream));
+        long serviceNanos =
+                (long) (serviceMillis * MILLIS * serviceTimeVariation * lastSlotFactor * slowdownFactor(upstream));
         scheduleAt(now + serviceNanos, () -> {
             running.merge(upstream, -1, Integer::sum);
             ReportedLoad load = load(upstream, 1);
--- a/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
@@ -12,21 +12,25 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against services whose calls are all refused although their upstreams are idle. */
 final class ServiceLockoutTest {
     private static final long MILLIS = 1_000_000L;
 
-    /** 60 calls/s with a service time of 160 ms and a target of 400 ms; counts those after 25 s. */
-    private static FleetSimulation simulation(int upstreams, double slowHostFraction) {
-        FleetSimulation simulation = new FleetSimulation(3, upstreams, slowHostFraction, true);
-        simulation.addArrivals(60, 0, 40_000, 160, 400);
-        simulation.resetCountsAt(25_000);
+    /** Calls with a target of 400 ms until 40 s. */
+    private static FleetSimulation simulation(
+            int upstreams, double slowHosts, double callsPerSecond, long serviceMillis) {
+        FleetSimulation simulation = new FleetSimulation(3, upstreams, slowHosts, true);
+        simulation.addArrivals(callsPerSecond, 0, 40_000, serviceMillis, 400);
         return simulation;
     }
 
-    private static void assertServed(FleetSimulation simulation, double fraction) {
+    /** Checks the calls from the given time on. */
+    private static void assertServed(FleetSimulation simulation, long fromMillis, double fraction) {
+        simulation.run(fromMillis);
+        simulation.resetCounts();
         simulation.run(60_000);
         assertWithMessage("on time of %s, with %s refused", simulation.calls, simulation.refused)
                 .that(simulation.onTime)
@@ -37,20 +41,13 @@
     @Nested
     class PausedCoordinator {
         @ParameterizedTest
-        @ValueSource(longs = {500, 1_000, 4_000, 17_000})
-        void servesCallsWhenItGoesOn(long pauseMillis) {
-            FleetSimulation simulation = simulation(10, 0);
-            simulation.pause(24_000 - pauseMillis, 24_000);
+        @CsvSource({"500, 0, 0.95", "1000, 0, 0.95", "4000, 0, 0.95", "17000, 0, 0.95", "17000, 0.25, 0.9"})
+        void servesCallsWhenItGoesOn(long pauseMillis, double slowHosts, double fraction) {
+            FleetSimulation simulation = simulation(10, slowHosts, 60, 160);
+            simulation.run(24_000 - pauseMillis);
+            simulation.pauseUntil(24_000);
 
-            assertServed(simulation, 0.95);
-        }
-
-        @Test
-        void servesCallsAfterAPauseAmongNoisyNeighbors() {
-            FleetSimulation simulation = simulation(10, 0.25);
-            simulation.pause(7_000, 24_000);
-
-            assertServed(simulation, 0.9);
+            assertServed(simulation, 25_000, fraction);
         }
     }
 
@@ -61,13 +58,13 @@
         @ValueSource(ints = {1, 2, 3})
         void areUsedAtTheirNormalSpeed(int left) {
             FleetSimulation simulation = new FleetSimulation(3, 10, 0, true);
-            simulation.addArrivals(60, 0, 20_000, 160, 400);
+            simulation.addArrivals(60, 0, 15_000, 160, 400);
+            simulation.addArrivals(60, 15_000, 20_000, 800, 400);
             simulation.addArrivals(4, 24_000, 40_000, 160, 400);
-            simulation.resetCountsAt(23_000);
-            simulation.slowPhase(5, 15_000, 20_000);
-            simulation.keepUpstreams(left, 22_000);
+            simulation.run(22_000);
+            simulation.keepUpstreams(left);
 
-            assertServed(simulation, 0.9);
+            assertServed(simulation, 23_000, 0.9);
         }
     }
 
@@ -75,10 +72,7 @@
     class SingleUpstream {
         @Test
         void isUsedWhileItIsIdle() {
-            FleetSimulation simulation = new FleetSimulation(3, 1, 0, true);
-            simulation.addArrivals(3, 0, 40_000, 250, 400);
-
-            assertServed(simulation, 0.5);
+            assertServed(simulation(1, 0, 3, 250), 25_000, 0.5);
         }
     }
 
@@ -87,10 +81,13 @@
     class CallsOfAnotherCoordinator {
         @Test
         void areForgottenWithoutReports() {
-            FleetSimulation simulation = simulation(10, 0);
-            simulation.addForeignCalls(3, 10_000, 24_400);
+            FleetSimulation simulation = simulation(10, 0, 60, 160);
+            simulation.run(10_000);
+            simulation.foreignCalls = 3;
+            simulation.run(24_400);
+            simulation.foreignCalls = 0;
 
-            assertServed(simulation, 0.95);
+            assertServed(simulation, 25_000, 0.95);
         }
     }
 
@@ -99,9 +96,8 @@
     class EveryHostSlow {
         @Test
         void servesCallsThatStillMeetTheirDeadline() {
-            FleetSimulation simulation = new FleetSimulation(3, 10, 1, true);
-            simulation.addArrivals(5, 0, 20_000, 160, 400);
-            simulation.run(40_000);
+            FleetSimulation simulation = simulation(10, 1, 5, 160);
+            simulation.run(60_000);
 
             // The service time is 800 ms and the deadline 1,200 ms.
             assertThat(simulation.late).isAtLeast(simulation.calls / 2);
@@ -112,9 +108,8 @@
             FleetSimulation simulation = new FleetSimulation(3, 10, 1, true);
             simulation.slowFactor = 1.4;
             simulation.addArrivals(10, 0, 40_000, 400, 1_000);
-            simulation.resetCountsAt(5_000);
 
-            assertServed(simulation, 0.9);
+            assertServed(simulation, 5_000, 0.9);
         }
     }
 
--- a/daemon/src/test/java/org/sardinepost/daemon/CallTerminationTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/CallTerminationTest.java
@@ -43,20 +43,27 @@
         callerConnection.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    @Test
-    void disconnectOfCallerCancelsUpstreamCall() throws Exception {
+    /** Disconnects after a request whose upstream does not respond, with a step between, and awaits the cancellation. */
+    private static void disconnect(String request, DaemonStep beforeDisconnect) throws Exception {
         try (ScriptedUpstream upstream = ScriptedUpstream.silent();
                 Daemon daemon = TestDaemon.start(
-                        TestDaemon.settings(),
+                        TestDaemon.settings().drainWait(Duration.ofMillis(1)),
                         service(upstream).deadline(Duration.ofHours(1)).build())) {
             try (Socket callerConnection = connect(daemon)) {
-                send(callerConnection, REQUEST);
+                send(callerConnection, request);
                 upstream.awaitRequestHead();
+                beforeDisconnect.run(daemon);
             }
-            upstream.connectionClosed().get(30, TimeUnit.SECONDS);
+            upstream.connectionClosed().get(10, TimeUnit.SECONDS);
+            daemon.stop().get(30, TimeUnit.SECONDS);
         }
     }
 
+    @Test
+    void disconnectOfCallerCancelsUpstreamCall() throws Exception {
+        disconnect(REQUEST, daemon -> {});
+    }
+
     static Stream<Arguments> requestsBeforeADisconnect() {
         String head = "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\n";
         return Stream.of(
@@ -70,35 +77,15 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("requestsBeforeADisconnect")
     void disconnectAfterAnyRequestCancelsUpstreamCall(String name, String request) throws Exception {
-        try (ScriptedUpstream upstream = ScriptedUpstream.silent();
-                Daemon daemon = TestDaemon.start(
-                        TestDaemon.settings(),
-                        service(upstream).deadline(Duration.ofHours(1)).build())) {
-            try (Socket callerConnection = connect(daemon)) {
-                send(callerConnection, request);
-                upstream.awaitRequestHead();
-                Thread.sleep(100);
-            }
-            upstream.connectionClosed().get(10, TimeUnit.SECONDS);
-        }
+        disconnect(request, daemon -> Thread.sleep(100));
     }
 
     @Test
     void disconnectDuringGracefulShutdownCancelsUpstreamCall() throws Exception {
-        try (ScriptedUpstream upstream = ScriptedUpstream.silent();
-                Daemon daemon = TestDaemon.start(
-                        TestDaemon.settings().drainWait(Duration.ofMillis(1)),
-                        service(upstream).deadline(Duration.ofHours(1)).build())) {
-            CompletableFuture<Void> stopped;
-            try (Socket callerConnection = connect(daemon)) {
-                send(callerConnection, REQUEST);
-                upstream.awaitRequestHead();
-                stopped = daemon.stop();
-                Thread.sleep(500);
-            }
-            upstream.connectionClosed().get(10, TimeUnit.SECONDS);
-            stopped.get(30, TimeUnit.SECONDS);
-        }
+        disconnect(REQUEST, daemon -> {
+            var unused = daemon.stop();
+            Thread.sleep(500);
+        });
     }
 
     @Test
@@ -220,4 +207,9 @@
             shutdownDone.get(30, TimeUnit.SECONDS);
         }
     }
+
+    @FunctionalInterface
+    private interface DaemonStep {
+        void run(Daemon daemon) throws Exception;
+    }
 }
--- a/daemon/src/test/java/org/sardinepost/daemon/EarlyListenerTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/EarlyListenerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -19,26 +20,39 @@
 /** Guards against callers whose connections are refused while a daemon starts. */
 @Timeout(60)
 final class EarlyListenerTest {
+    private static final String REQUEST = RawHttpClient.request("GET / HTTP/1.1", "Host: 127.0.0.1");
+
+    private static ScriptedUpstream upstream() throws IOException {
+        return ScriptedUpstream.keepingAlive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+
+    private static Socket send(ServerSocketChannel listener) throws IOException {
+        Socket caller =
+                new Socket(InetAddress.getLoopbackAddress(), listener.socket().getLocalPort());
+        caller.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+        return caller;
+    }
+
+    private static void start(Daemon daemon, ServerSocketChannel listener, ScriptedUpstream upstream) throws Exception {
+        daemon.setCallerListener(listener);
+        daemon.apply(new ServicesText(
+                1,
+                1,
+                List.of(Service.builder("127.0.0.1")
+                        .external(true)
+                        .upstreams(List.of(upstream.upstream()))
+                        .build())));
+        daemon.start();
+    }
+
     @Test
     void aCallThatArrivesBeforeTheDaemonIsCreatedIsAnswered() throws Exception {
         DaemonSettings settings = TestDaemon.settings().build();
-        try (ScriptedUpstream upstream =
-                        ScriptedUpstream.keepingAlive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        try (ScriptedUpstream upstream = upstream();
                 ServerSocketChannel listener = EarlyListener.bind(settings.callerAddress());
-                Socket caller = new Socket(
-                        InetAddress.getLoopbackAddress(), listener.socket().getLocalPort())) {
-            String request = RawHttpClient.request("GET / HTTP/1.1", "Host: 127.0.0.1");
-            caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+                Socket caller = send(listener)) {
             try (Daemon daemon = new Daemon(settings)) {
-                daemon.setCallerListener(listener);
-                daemon.apply(new ServicesText(
-                        1,
-                        1,
-                        List.of(Service.builder("127.0.0.1")
-                                .external(true)
-                                .upstreams(List.of(upstream.upstream()))
-                                .build())));
-                daemon.start();
+                start(daemon, listener, upstream);
 
                 assertThat(daemon.callerPort()).isEqualTo(listener.socket().getLocalPort());
                 String response = new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
@@ -51,27 +65,14 @@
     @Test
     void callsWhoseCallersHaveLeftAreNotDispatched() throws Exception {
         DaemonSettings settings = TestDaemon.settings().build();
-        String request = RawHttpClient.request("GET / HTTP/1.1", "Host: 127.0.0.1");
-        try (ScriptedUpstream upstream =
-                        ScriptedUpstream.keepingAlive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        try (ScriptedUpstream upstream = upstream();
                 ServerSocketChannel listener = EarlyListener.bind(settings.callerAddress())) {
-            int port = listener.socket().getLocalPort();
             for (int i = 0; i < 40; i++) {
-                try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                    caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-                }
+                send(listener).close();
             }
             try (Daemon daemon = new Daemon(settings)) {
-                daemon.setCallerListener(listener);
-                daemon.apply(new ServicesText(
-                        1,
-                        1,
-                        List.of(Service.builder("127.0.0.1")
-                                .external(true)
-                                .upstreams(List.of(upstream.upstream()))
-                                .build())));
-                daemon.start();
-                String response = RawHttpClient.exchange(port, request);
+                start(daemon, listener, upstream);
+                String response = RawHttpClient.exchange(daemon.callerPort(), REQUEST);
                 Thread.sleep(300);
 
                 assertThat(response).endsWith("ok");
--- a/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/placement/PlacementTest.java
@@ -62,7 +62,11 @@
     }
 
     private static DispatchRequest request() {
-        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        return request(Duration.ofSeconds(60));
+    }
+
+    private static DispatchRequest request(Duration left) {
+        long deadline = System.nanoTime() + left.toNanos();
         return new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, Origin.unknown(), "route");
     }
 
@@ -100,12 +104,9 @@
         /** Guards against slots that stay in use because the message about the end of a call was lost. */
         @Test
         void isReleasedAfterItsDeadlineIfItsEndIsNotReported() throws Exception {
-            long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(100);
             requester
                     .dispatcher
-                    .acquire(
-                            new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, Origin.unknown(), "route"),
-                            System.nanoTime())
+                    .acquire(request(Duration.ofMillis(100)), System.nanoTime())
                     .get(30, TimeUnit.SECONDS);
             coordinator.placement.releaseOverdue();
             assertThat(coordinator.placement.remoteDispatches()).isEqualTo(1);
@@ -139,11 +140,9 @@
     class RefusalByTheCoordinator {
         @Test
         void tellsTheDaemonOfTheCallItsDetail() {
-            long now = System.nanoTime();
-            DispatchRequest expired = new DispatchRequest(now, 0, 0, Set.of(), now, 0, Origin.unknown(), "route");
-            CompletionException failure = assertThrows(
-                    CompletionException.class,
-                    () -> requester.dispatcher.acquire(expired, now).join());
+            CompletableFuture<Dispatch> refused =
+                    requester.dispatcher.acquire(request(Duration.ZERO), System.nanoTime());
+            CompletionException failure = assertThrows(CompletionException.class, refused::join);
 
             assertThat(((RefusedException) failure.getCause()).detail()).contains("the typical service time is 0 ms");
         }
