--- a/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementServer.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/placement/PlacementServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.sardinepost.core.call.RefusalReason;
@@ -83,17 +84,18 @@
      */
     void releaseOverdue() {
         long nowNanos = nanoClock.getAsLong();
-        List<CallKey> overdue = calls.entrySet().stream()
-                .filter(entry -> nowNanos - entry.getValue().deadlineNanos() > OVERDUE_NANOS)
-                .map(Map.Entry::getKey)
-                .toList();
-        overdue.forEach(key -> release(calls.remove(key), DispatchResult.of(DispatchResult.Kind.CANCELLED)));
+        releaseIf((key, call) -> nowNanos - call.deadlineNanos() > OVERDUE_NANOS);
     }
 
     /** Releases all dispatches of a peer process that stopped or was disconnected. */
     void releaseIncarnation(long incarnation) {
-        List<CallKey> keys = calls.keySet().stream()
-                .filter(key -> key.incarnation() == incarnation)
+        releaseIf((key, call) -> key.incarnation() == incarnation);
+    }
+
+    private void releaseIf(BiPredicate<CallKey, RemoteCall> condition) {
+        List<CallKey> keys = calls.entrySet().stream()
+                .filter(entry -> condition.test(entry.getKey(), entry.getValue()))
+                .map(Map.Entry::getKey)
                 .toList();
         keys.forEach(key -> release(calls.remove(key), DispatchResult.of(DispatchResult.Kind.CANCELLED)));
     }
