--- a/daemon/src/main/java/org/sardinepost/daemon/http/ReadAheadBuffer.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/ReadAheadBuffer.java
@@ -13,7 +13,7 @@
 public final class ReadAheadBuffer {
     private static final byte[] HTTP2_PREFACE_START = {'P', 'R', 'I', ' '};
 
-    private static final int INITIAL_CAPACITY = 4 << 10;
+    private static final int INITIAL_CAPACITY = 1 << 10;
 
     private final int maxCapacity;
     private final HeadBoundaryScanner passedBytes = new HeadBoundaryScanner();
@@ -63,9 +63,7 @@
         ByteBuffer slice = buffer.slice(buffer.position(), passed);
         buffer.position(buffer.position() + passed);
         returnedBytes = Math.max(0, returnedBytes - passed);
-        if (!buffer.hasRemaining()) {
-            buffer = BufferUtil.EMPTY_BUFFER;
-        }
+        releaseMemory();
         return BufferUtil.append(target, slice);
     }
 
