--- a/core/src/main/java/org/sardinepost/core/admission/ServiceTimeEstimator.java
+++ b/core/src/main/java/org/sardinepost/core/admission/ServiceTimeEstimator.java
@@ -57,7 +57,7 @@
 
     /** Records that a trial call was sent, which delays the next one. */
     public void trialStarted(String kind, long nowNanos) {
-        byKind.computeIfAbsent(kind, key -> new ServiceTimeAverage()).trialStarted(nowNanos);
+        byKind.get(kind).trialStarted(nowNanos);
     }
 
     /** Records the response to a trial call, which replaces the service time that all calls of the kind were refused for. */
