--- a/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/CentralDispatcherTest.java
@@ -369,18 +369,25 @@
         }
     }
 
-    /** Guards against a pause of this process being taken for the service time of the calls that were in progress. */
-    @Nested
-    class ResponsesRecordedAfterAPause {
-        private final CentralDispatcher dispatcher =
+    /** Calls of one kind to a service without probes. */
+    private abstract static class OneService {
+        CentralDispatcher dispatcher =
                 new CentralDispatcher(DispatcherSettings.of(3, "a"), new SplittableRandom(1), Optional.empty());
-        private long now = 1_000 * MILLIS;
+        long now = 1_000 * MILLIS;
 
-        private CompletableFuture<Dispatch> call() {
-            long target = now + 400 * MILLIS;
+        CompletableFuture<Dispatch> call(long targetMillis, long deadlineMillis) {
+            long target = now + targetMillis * MILLIS;
+            long deadline = now + deadlineMillis * MILLIS;
             return dispatcher.acquire(
-                    new DispatchRequest(now + 1_200 * MILLIS, 0, 0, Set.of(), target, 0, Origin.unknown(), "route"),
-                    now);
+                    new DispatchRequest(deadline, 0, 0, Set.of(), target, 0, Origin.unknown(), "route"), now);
+        }
+    }
+
+    /** Guards against a pause of this process being taken for the service time of the calls that were in progress. */
+    @Nested
+    class ResponsesRecordedAfterAPause extends OneService {
+        private CompletableFuture<Dispatch> call() {
+            return call(400, 1_200);
         }
 
         /** Sends four calls, and records their responses after the given time. */
@@ -412,15 +419,16 @@
 
     /** Guards against a kind of call that stays refused after its upstreams have become fast again. */
     @Nested
-    class KindRefusedForItsServiceTime {
-        private final CentralDispatcher dispatcher =
-                new CentralDispatcher(DispatcherSettings.of(3, "a"), new SplittableRandom(1), Optional.empty());
-        private long now = 1_000 * MILLIS;
+    class KindRefusedForItsServiceTime extends OneService {
+        private final List<UpstreamId> probed = new ArrayList<>();
 
         private CompletableFuture<Dispatch> call(long deadlineMillis) {
-            long deadline = now + deadlineMillis * MILLIS;
-            return dispatcher.acquire(
-                    new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, Origin.unknown(), "route"), now);
+            CompletableFuture<Dispatch> dispatch = call(deadlineMillis, deadlineMillis);
+            List.copyOf(probed)
+                    .forEach(id -> dispatcher.recordProbeResponse(id, new ReportedLoad(0, 3, 100), now + MILLIS));
+            probed.clear();
+            assertThat(dispatch.isDone()).isTrue();
+            return dispatch;
         }
 
         /** Sends a call every 20 ms; each that is not refused gets its response after the service time. */
@@ -440,7 +448,7 @@
 
         private void slowDown() {
             dispatcher.setUpstreams(List.of(new Upstream(new UpstreamId("10.0.0.1", 80), "a")), now);
-            refused(2_000, 10_000, 3_000);
+            assertThat(refused(2_000, 10_000, 3_000)).isAtMost(50);
             // Upstreams respond within 160 ms again, but by now all callers have a deadline of a second.
             now += 3_000 * MILLIS;
         }
@@ -453,6 +461,19 @@
             assertThat(refused(5_000, 1_000, 160)).isEqualTo(0);
         }
 
+        @Test
+        void isServedSoonAfterUpstreamsThatAreProbedAreFast() {
+            dispatcher = new CentralDispatcher(
+                    DispatcherSettings.of(3, "a"),
+                    new SplittableRandom(1),
+                    Optional.of(upstream -> probed.add(upstream.id())));
+            dispatcher.setMeasuringBudget(2_000);
+            slowDown();
+            refused(5_000, 1_000, 160);
+
+            assertThat(refused(2_000, 1_000, 160)).isEqualTo(0);
+        }
+
         @Test
         void getsOneTrialCallInASecondWhileUpstreamsAreSlow() {
             slowDown();
--- a/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
+++ b/core/src/test/java/org/sardinepost/core/routing/ServiceLockoutTest.java
@@ -3,12 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,8 +11,6 @@
 
 /** Guards against services whose calls are all refused although their upstreams are idle. */
 final class ServiceLockoutTest {
-    private static final long MILLIS = 1_000_000L;
-
     /** Calls with a target of 400 ms until 40 s. */
     private static FleetSimulation simulation(
             int upstreams, double slowHosts, double callsPerSecond, long serviceMillis) {
@@ -112,46 +104,4 @@
             assertServed(simulation, 5_000, 0.9);
         }
     }
-
-    /** Guards against a kind of call that stays refused although its upstreams have become fast again. */
-    @Nested
-    class KindRefusedForItsServiceTime {
-        private final List<UpstreamId> probed = new ArrayList<>();
-        private final CentralDispatcher dispatcher = new CentralDispatcher(
-                DispatcherSettings.of(3, "a"),
-                new SplittableRandom(1),
-                Optional.of(upstream -> probed.add(upstream.id())));
-        private long now = 1_000 * MILLIS;
-
-        private int served(long millis, long deadlineMillis, long serviceMillis) {
-            int served = 0;
-            for (long end = now + millis * MILLIS; now < end; now += 20 * MILLIS) {
-                long deadline = now + deadlineMillis * MILLIS;
-                CompletableFuture<Dispatch> dispatch = dispatcher.acquire(
-                        new DispatchRequest(deadline, 0, 0, Set.of(), deadline, 0, Origin.unknown(), "route"), now);
-                List.copyOf(probed)
-                        .forEach(upstream ->
-                                dispatcher.recordProbeResponse(upstream, new ReportedLoad(0, 3, 100), now + MILLIS));
-                probed.clear();
-                if (dispatch.isDone() && !dispatch.isCompletedExceptionally()) {
-                    served++;
-                    DispatchResult response = new DispatchResult(
-                            DispatchResult.Kind.ANSWERED, Optional.of(new ReportedLoad(1, 3, 100)), false);
-                    dispatch.join().complete(response, now + serviceMillis * MILLIS);
-                }
-            }
-            return served;
-        }
-
-        @Test
-        void isServedSoonAfterUpstreamsAreFast() {
-            dispatcher.setUpstreams(List.of(new Upstream(new UpstreamId("10.0.0.1", 80), "a")), now);
-            dispatcher.setMeasuringBudget(2_000);
-            assertThat(served(2_000, 10_000, 3_000)).isAtLeast(50);
-            now += 3_000 * MILLIS;
-            served(5_000, 1_000, 160);
-
-            assertThat(served(2_000, 1_000, 160)).isEqualTo(100);
-        }
-    }
 }
