--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -13,9 +13,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The platform's store: items, pages of 50 and changes after a revision. */
+/** The platform's store: items, pages of 50 and changes after a revision. It keeps the changes of the last 20 s. */
 final class Store {
     private static final int PAGE = 50;
+    private static final long HISTORY_MILLIS = 20_000;
+    private static final String GONE = "";
 
     private record Item(String key, String value, long revision, long created) {
         String json() {
@@ -25,12 +27,14 @@
         }
     }
 
-    private record Event(long revision, String json) {}
+    private record Event(long revision, String json, long millis) {}
 
     private final ServerSocket listener;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Event> events = new ArrayList<>();
     private long revision = 100;
+    /** The newest revision whose change is no longer kept. */
+    private long forgotten = 100;
 
     Store() throws IOException {
         listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
@@ -51,14 +55,14 @@
         Item previous = items.get(key);
         Item item = new Item(key, value, revision, previous == null ? revision : previous.created());
         items.put(key, item);
-        events.add(new Event(revision, item.json()));
+        events.add(new Event(revision, item.json(), System.currentTimeMillis()));
         notifyAll();
     }
 
     synchronized void remove(String key) {
         revision++;
         items.remove(key);
-        events.add(new Event(revision, "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"removed\":true}"));
+        events.add(new Event(revision, "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"removed\":true}", System.currentTimeMillis()));
         notifyAll();
     }
 
@@ -68,8 +72,9 @@
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             for (Http.Message request = Http.read(in, false); request != null; request = Http.read(in, false)) {
-                byte[] body = answer(request.target()).getBytes(StandardCharsets.UTF_8);
-                String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length
+                String answer = answer(request.target());
+                byte[] body = answer.getBytes(StandardCharsets.UTF_8);
+                String head = "HTTP/1.1 " + (answer.equals(GONE) ? "410 Gone" : "200 OK") + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length
                         + "\r\n\r\n";
                 out.write((head + new String(body, StandardCharsets.UTF_8)).getBytes(StandardCharsets.UTF_8));
                 out.flush();
@@ -117,6 +122,12 @@
         while (revision <= after && System.currentTimeMillis() < untilMillis) {
             wait(Math.max(1, untilMillis - System.currentTimeMillis()));
         }
+        while (!events.isEmpty() && System.currentTimeMillis() - events.get(0).millis() > HISTORY_MILLIS) {
+            forgotten = events.remove(0).revision();
+        }
+        if (after < forgotten) {
+            return GONE;
+        }
         List<String> changed = new ArrayList<>();
         for (Event event : events) {
             if (event.revision() > after) {
