Send each attempt at most once on a connection

Cause: a response is matched to its attempt by the id that it repeats. A refused attempt is sent again with the same id, if need be to the same upstream and on the same connection. A second copy of the refusal, which the upstream sends where the next response is due, then bears the id of the attempt in progress. The same happens to a repeat of the client.

Ruled out: the choice of upstreams. Not repeating to an upstream that refused would take the retry from services with one upstream, and would not cover a repeat of the client, which fails in the same way without any retry of the daemon.

Change: a connection remembers the ids that it sent and refuses to send one again; the pool selects an idle connection that has not sent the id before it opens one.

--- a/daemon/src/main/java/org/sardinepost/daemon/UpstreamHttpClientFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/UpstreamHttpClientFactory.java
@@ -5,11 +5,11 @@
 import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.ProcessingProtocolHandler;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
 import org.sardinepost.daemon.http.PlainClientConnector;
+import org.sardinepost.daemon.http.UpstreamHttpTransport;
 
 /** Creates the HTTP client for upstreams, which forwards requests and responses unchanged. */
 final class UpstreamHttpClientFactory {
@@ -34,7 +34,7 @@
         connector.setSelectors(SELECTORS);
         connector.setConnectTimeout(CONNECT_TIMEOUT);
         connector.setIdleTimeout(IDLE_TIMEOUT);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClient client = new HttpClient(new UpstreamHttpTransport(connector));
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
         client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT.toMillis());
         client.setMaxRequestHeadersSize(HEADER_RESERVE_BYTES + headerLimitBytes);
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamClient.java
@@ -9,6 +9,7 @@
 import org.sardinepost.core.call.RefusalReason;
 import org.sardinepost.core.call.RefusedException;
 import org.sardinepost.core.routing.UpstreamId;
+import org.sardinepost.daemon.http.UpstreamHttpTransport;
 
 /** Sends buffered requests to upstreams and buffers the complete responses. */
 public final class UpstreamClient {
@@ -51,6 +52,7 @@
                 .path(request.target())
                 .idleTimeout(0, TimeUnit.MILLISECONDS)
                 .headers(fields -> fields.add(request.headers()));
+        upstreamProtocol.attemptId(request).ifPresent(id -> exchange.attribute(UpstreamHttpTransport.ATTEMPT_ID, id));
         if (!requestTarget(exchange).equals(request.target())) {
             return CompletableFuture.failedFuture(new RefusedException(
                     RefusalReason.MALFORMED_REQUEST,
--- a/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/UpstreamProtocol.java
@@ -14,6 +14,18 @@
     /** Translates a request to the form that is sent to the upstream. */
     BufferedRequest translateRequest(BufferedRequest request);
 
+    /**
+     * Returns the id that responses to the request bear; empty if they bear none.
+     *
+     * <p>The daemon sends an id at most once on a connection, as a late copy of the first response could otherwise be
+     * mistaken for the second one.
+     *
+     * @param sentRequest the request in the form that is sent to the upstream
+     */
+    default Optional<String> attemptId(BufferedRequest sentRequest) {
+        return Optional.empty();
+    }
+
     /**
      * Translates the head of a response to that of the daemon. The body, which is not known yet, is empty.
      *
