Bound responses without end for every client of the daemon

Cause: Jetty queues what each response does until it has parsed all bytes that it can receive, and the timeout of the request queues behind them. Calls were protected by ResponseCollector, which closes the connection itself; probes and reads of the store and of the configuration service were not, and the latter two had no limit for headers either.

Ruled out: the listeners of the probe and the bodies that it discards; nothing else grew in the histograms.

Change: a second interim response with the same status, which Jetty took for the final response, fails the response while it is parsed; an aborted exchange closes its end point at once; responses to the daemon's own reads have at most 16 KiB of headers. ResponseCollector closes the end point instead of the connection, which a thread may be reading from.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -5,13 +5,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
-import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.Content;
 
 /** Buffers one response until it is complete. */
@@ -206,7 +206,7 @@
     }
 
     private boolean inputEnded() {
-        return exchange.getConnection() instanceof org.eclipse.jetty.io.Connection connection
+        return exchange.getConnection() instanceof Connection connection
                 && connection.getEndPoint().isInputShutdown();
     }
 
@@ -260,10 +260,13 @@
         return responseFuture.complete(response);
     }
 
+    /**
+     * Closes the end point. Closing the connection would release the buffer that a thread may be reading into, which another
+     * connection could then use at the same time.
+     */
     private void closeConnection() {
-        Connection connection = exchange.getConnection();
-        if (connection != null) {
-            connection.close();
+        if (exchange.getConnection() instanceof Connection connection) {
+            connection.getEndPoint().close();
         }
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/http/AttemptConnection.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/AttemptConnection.java
@@ -6,12 +6,11 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.transport.HttpExchange;
 import org.eclipse.jetty.client.transport.SendFailure;
-import org.eclipse.jetty.client.transport.internal.HttpConnectionOverHTTP;
 import org.eclipse.jetty.io.EndPoint;
 import org.sardinepost.core.retry.AttemptHistory;
 
 /** A connection to an upstream that sends each attempt at most once. */
-final class AttemptConnection extends HttpConnectionOverHTTP {
+final class AttemptConnection extends BoundedConnection {
     private final AttemptHistory history = new AttemptHistory();
 
     AttemptConnection(EndPoint endPoint, Map<String, Object> context) {
--- a/daemon/src/main/java/org/sardinepost/daemon/http/UpstreamHttpTransport.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/UpstreamHttpTransport.java
@@ -1,14 +1,12 @@
 package org.sardinepost.daemon.http;
 
 import java.util.Map;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.client.transport.HttpDestination;
 import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 
 /** Sends requests to upstreams over HTTP/1.1, each attempt at most once on a connection. */
-public final class UpstreamHttpTransport extends HttpClientTransportOverHTTP {
+public final class UpstreamHttpTransport extends BoundedHttpTransport {
     /** The attribute of requests whose responses bear an id: that id, a string. */
     public static final String ATTEMPT_ID = "org.sardinepost.attemptId";
 
@@ -19,9 +17,7 @@
     }
 
     @Override
-    public Connection newConnection(EndPoint endPoint, Map<String, Object> context) {
-        AttemptConnection connection = new AttemptConnection(endPoint, context);
-        connection.setInitialize(isInitializeConnections());
-        return connection;
+    BoundedConnection newBoundedConnection(EndPoint endPoint, Map<String, Object> context) {
+        return new AttemptConnection(endPoint, context);
     }
 }
--- a/daemon/src/test/java/org/sardinepost/daemon/EndlessResponseTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/EndlessResponseTest.java
@@ -30,7 +30,7 @@
     private static final long ANSWER_LIMIT_BYTES = 64 << 10;
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-    private static Stream<Arguments> endlessResponses() {
+    static Stream<Arguments> endlessResponses() {
         return Stream.of(
                 Arguments.of("no HTTP", "", "garbage"),
                 Arguments.of("line breaks", "", "\r\n"),
@@ -38,6 +38,7 @@
                 Arguments.of("a header", "HTTP/1.1 200 OK\r\nX: ", "a"),
                 Arguments.of("headers", "HTTP/1.1 200 OK\r\n", "X: a\r\n"),
                 Arguments.of("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+                Arguments.of("processing", "", "HTTP/1.1 102 Processing\r\n\r\n"),
                 Arguments.of("early hints", "", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n"),
                 Arguments.of("a body until close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "a"),
                 Arguments.of("a long body", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "a"),
