Do not share the buffers that connections read into

Cause: Jetty's client parses on in a buffer that it has released, and the pool has given the buffer to another connection. Thread dumps show no thread at work while the response is missing, so that its bytes are lost.

Change: input buffers are heap buffers that are allocated for each use; output buffers remain pooled.

--- a/daemon/src/main/java/org/sardinepost/daemon/UpstreamHttpClientFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/UpstreamHttpClientFactory.java
@@ -34,7 +34,7 @@
         connector.setSelectors(SELECTORS);
         connector.setConnectTimeout(CONNECT_TIMEOUT);
         connector.setIdleTimeout(IDLE_TIMEOUT);
-        HttpClient client = new HttpClient(new UpstreamHttpTransport(connector));
+        HttpClient client = UpstreamHttpTransport.newClient(connector);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
         client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT.toMillis());
         client.setMaxRequestHeadersSize(HEADER_RESERVE_BYTES + headerLimitBytes);
--- a/daemon/src/main/java/org/sardinepost/daemon/http/BoundedHttpTransport.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/BoundedHttpTransport.java
@@ -18,11 +18,20 @@
 
     /** Creates a client for requests of the daemon itself, whose response headers are bounded as well. */
     public static HttpClient newClient(ClientConnector connector) {
-        HttpClient client = new HttpClient(new BoundedHttpTransport(connector));
+        HttpClient client = newClient(new BoundedHttpTransport(connector));
         client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
         return client;
     }
 
+    /** Creates a client whose connections share no buffers that they read into. */
+    static HttpClient newClient(BoundedHttpTransport transport) {
+        HttpClient client = new HttpClient(transport);
+        client.setByteBufferPool(new UnsharedInputBufferPool());
+        client.setUseInputDirectByteBuffers(false);
+        client.setUseOutputDirectByteBuffers(true);
+        return client;
+    }
+
     @Override
     public final Connection newConnection(EndPoint endPoint, Map<String, Object> context) {
         BoundedConnection connection = newBoundedConnection(endPoint, context);
