Pass only final responses that HTTP defines on to callers

Cause: the client library accepts any status of three digits from 100 on, and only the framing of responses was checked. It takes a 1xx that it does not know for the final response and waits for the end of its body.

Ruled out: 000, 0, 099, 1000 and abc, which the library rejects; they became 502 before.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -1,6 +1,7 @@
 package org.sardinepost.daemon.call;
 
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -81,7 +82,12 @@
      */
     @Override
     public void onHeaders(Response response) {
-        if (HttpStatus.isInformational(response.getStatus()) || !hasReliableEnd(response)) {
+        Optional<String> violation = FinalResponseCheck.violation(response.getStatus(), response.getHeaders());
+        if (violation.isPresent()) {
+            fail(SendException.Kind.ANSWER_INCOMPLETE, "the upstream sent " + violation.get());
+            return;
+        }
+        if (!hasReliableEnd(response)) {
             return;
         }
         BufferedResponse sentHead =
@@ -232,15 +238,6 @@
             return false;
         }
         Response received = result.getResponse();
-        if (HttpStatus.isInformational(received.getStatus())) {
-            // The client skips one interim response of a kind and takes a repetition for the final one.
-            closeConnection();
-            responseFuture.completeExceptionally(new SendException(
-                    SendException.Kind.ANSWER_INCOMPLETE,
-                    "the upstream sent interim response " + received.getStatus() + " instead of a final one",
-                    null));
-            return false;
-        }
         if (!hasReliableEnd(received)) {
             responseFuture.completeExceptionally(new SendException(
                     SendException.Kind.ANSWER_INCOMPLETE,
--- a/daemon/src/test/java/org/sardinepost/daemon/ResponseTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ResponseTest.java
@@ -3,8 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sardinepost.core.text.Service;
@@ -60,6 +62,54 @@
         }
     }
 
+    /** Guards against passing on bytes that are no final response in HTTP, and against waiting for more of them. */
+    @Nested
+    @Timeout(20)
+    final class NoFinalResponses {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "600 Odd\r\nContent-Length: 0",
+                    "700 Odd\r\nContent-Length: 0",
+                    "999 Odd\r\nContent-Length: 0",
+                    "000 Odd\r\nContent-Length: 0",
+                    "099 Odd\r\nContent-Length: 0",
+                    "0 Odd\r\nContent-Length: 0",
+                    "1000 Odd\r\nContent-Length: 0",
+                    "abc Odd\r\nContent-Length: 0",
+                    "199 Odd\r\nContent-Length: 0",
+                    "199 Odd",
+                    "204 No Content\r\nContent-Length: 3\r\n\r\nabc",
+                    "204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0",
+                })
+        void areNotForwarded(String statusAndHeaders) throws Exception {
+            try (ScriptedUpstream upstream =
+                    ScriptedUpstream.keepingAlive("HTTP/1.1 " + statusAndHeaders + "\r\n\r\n")) {
+                assertThat(call("GET", upstream)).startsWith("HTTP/1.1 502 ");
+                upstream.connectionClosed().get(1, TimeUnit.SECONDS);
+            }
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "200 OK\r\nContent-Length: 0",
+                    "204 No Content",
+                    "204 No Content\r\nContent-Length: 0",
+                    "299 Odd\r\nContent-Length: 0",
+                    "304 Not Modified\r\nContent-Length: 3",
+                    "418 Odd\r\nContent-Length: 0",
+                    "500 Odd\r\nContent-Length: 0",
+                    "599 Odd\r\nContent-Length: 0",
+                })
+        void othersKeepTheirStatus(String statusAndHeaders) throws Exception {
+            try (ScriptedUpstream upstream =
+                    ScriptedUpstream.keepingAlive("HTTP/1.1 " + statusAndHeaders + "\r\n\r\n")) {
+                assertThat(call("GET", upstream)).startsWith("HTTP/1.1 " + statusAndHeaders.substring(0, 3) + " ");
+            }
+        }
+    }
+
     /** Responses of upstreams that guarantee to reset the connection if they abort a response. */
     @Nested
     final class ResponsesDelimitedByClose {
