--- a/daemon/src/test/java/org/sardinepost/daemon/EndlessControlResponseTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/EndlessControlResponseTest.java
@@ -1,13 +1,15 @@
 package org.sardinepost.daemon;
 
-import java.time.Duration;
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.sardinepost.core.routing.ReportedLoad;
-import org.sardinepost.core.routing.Upstream;
 import org.sardinepost.core.settings.DaemonSettings;
 import org.sardinepost.core.settings.Source;
 import org.sardinepost.daemon.call.UpstreamProber;
@@ -19,35 +21,21 @@
  */
 @Timeout(60)
 final class EndlessControlResponseTest {
-    private static final int HEADER_LIMIT_BYTES = 16 << 10;
-
     /** Well above the timeout of each request, which is at most 3 s. */
     private static final long CLOSE_TIMEOUT_SECONDS = 5;
 
     private static final long PROBE_INTERVAL_MILLIS = 300;
 
-    private static final UpstreamProber.Listener IGNORING = new UpstreamProber.Listener() {
-        @Override
-        public void loadReported(Upstream upstream, ReportedLoad load) {}
-
-        @Override
-        public void leavingReported(Upstream upstream) {}
-
-        @Override
-        public void retryAfterReported(Upstream upstream, Duration delay) {}
-    };
-
     @ParameterizedTest(name = "{0}")
     @MethodSource("org.sardinepost.daemon.EndlessResponseTest#endlessResponses")
     void endProbes(String name, String beginning, String repeated) throws Exception {
         try (EndlessUpstream endless = new EndlessUpstream(beginning, repeated);
-                HttpClient client = UpstreamHttpClientFactory.create(HEADER_LIMIT_BYTES)) {
-            client.start();
+                HttpClient client = ProbingMain.startClient()) {
             UpstreamProber prober = new UpstreamProber(client, UpstreamProtocol.untranslated());
-            prober.probe(endless.upstream(), "/health", IGNORING);
+            prober.probe(endless.upstream(), "/health", ProbingMain.IGNORING);
             // The first probe may time out before the client is ready to send it.
             Thread.sleep(PROBE_INTERVAL_MILLIS);
-            prober.probe(endless.upstream(), "/health", IGNORING);
+            prober.probe(endless.upstream(), "/health", ProbingMain.IGNORING);
 
             endless.connectionClosed().get(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         }
@@ -66,4 +54,15 @@
             }
         }
     }
+
+    @Test
+    void interimResponsesToProbesDoNotFillTheHeap(@TempDir Path directory) throws Exception {
+        try (EndlessUpstream endless = new EndlessUpstream("", "HTTP/1.1 102 Processing\r\n\r\n");
+                JavaProcess probing = new JavaProcess(
+                        directory.resolve("probing.log"),
+                        ProbingMain.class,
+                        Integer.toString(endless.upstream().id().port()))) {
+            assertThat(probing.waitForExitCode()).isEqualTo(0);
+        }
+    }
 }
--- a/daemon/src/test/java/org/sardinepost/daemon/JavaProcess.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/JavaProcess.java
@@ -24,6 +24,7 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx128m",
                 "-XX:+UseSerialGC",
+                "-XX:+ExitOnOutOfMemoryError",
                 "-cp",
                 System.getProperty("java.class.path"),
                 mainClass.getName()));
