--- a/daemon/src/test/java/org/sardinepost/daemon/ResponseTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/ResponseTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
@@ -66,6 +67,10 @@
     @Nested
     @Timeout(20)
     final class NoFinalResponses {
+        private static ScriptedUpstream sending(String statusAndHeaders) throws IOException {
+            return ScriptedUpstream.keepingAlive("HTTP/1.1 " + statusAndHeaders + "\r\n\r\n");
+        }
+
         @ParameterizedTest
         @ValueSource(
                 strings = {
@@ -83,8 +88,7 @@
                     "204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0",
                 })
         void areNotForwarded(String statusAndHeaders) throws Exception {
-            try (ScriptedUpstream upstream =
-                    ScriptedUpstream.keepingAlive("HTTP/1.1 " + statusAndHeaders + "\r\n\r\n")) {
+            try (ScriptedUpstream upstream = sending(statusAndHeaders)) {
                 assertThat(call("GET", upstream)).startsWith("HTTP/1.1 502 ");
                 upstream.connectionClosed().get(1, TimeUnit.SECONDS);
             }
@@ -103,8 +107,7 @@
                     "599 Odd\r\nContent-Length: 0",
                 })
         void othersKeepTheirStatus(String statusAndHeaders) throws Exception {
-            try (ScriptedUpstream upstream =
-                    ScriptedUpstream.keepingAlive("HTTP/1.1 " + statusAndHeaders + "\r\n\r\n")) {
+            try (ScriptedUpstream upstream = sending(statusAndHeaders)) {
                 assertThat(call("GET", upstream)).startsWith("HTTP/1.1 " + statusAndHeaders.substring(0, 3) + " ");
             }
         }
