--- a/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/log/LogEvent.java
@@ -51,6 +51,7 @@
     UPSTREAM_ABSENT(225, "upstream {} is no longer listed; it is removed {}"),
     UPSTREAM_REMOVED(226, "upstream {} receives no new calls, {} ms after the first list without it"),
     UPSTREAM_LISTED_AGAIN(227, "upstream {} is listed again, {} ms after the first list without it"),
+    SOURCE_HISTORY_TOO_LARGE(228, "cannot read the changes from {}: {}"),
     CALL_ENDED(300, "{}");
 
     /** The length of {@link #code}. */
