Let growing bodies take no more memory than is reserved for them

Cause: the buffer of a body of unknown length doubled, up to three times the body while it was copied; twice its limit was reserved. A request without a length reserved nothing for copies.

Change: a buffer grows at most to the limit of its body, and requests reserve what their buffer takes.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/RequestBodyReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/RequestBodyReader.java
@@ -13,7 +13,7 @@
     private final long limitBytes;
     private final HeldBytesReservation reservation;
     private final CompletableFuture<ByteBuffer> bodyFuture = new CompletableFuture<>();
-    private BodyBuffer body = new BodyBuffer(0);
+    private BodyBuffer body = BodyBuffer.ofLength(0);
     private long reservedBytes;
 
     private RequestBodyReader(Request request, long limitBytes, HeldBytesReservation reservation) {
@@ -33,9 +33,12 @@
     }
 
     private void start() {
-        long length = Math.max(0, request.getLength());
-        if (reserveUpTo(length)) {
-            body = new BodyBuffer((int) length);
+        long length = request.getLength();
+        if (length < 0) {
+            body = BodyBuffer.growing((int) limitBytes);
+            readAvailable();
+        } else if (reserve(length, length)) {
+            body = BodyBuffer.ofLength((int) length);
             readAvailable();
         }
     }
@@ -57,7 +60,8 @@
 
     private void consume(Content.Chunk chunk) {
         boolean last = chunk.isLast();
-        boolean reserved = reserveUpTo(body.size() + (long) chunk.remaining());
+        int length = chunk.remaining();
+        boolean reserved = reserve(body.size() + (long) length, body.bytesToAppend(length));
         if (reserved) {
             body.append(chunk.getByteBuffer());
         }
@@ -67,19 +71,24 @@
         }
     }
 
-    private boolean reserveUpTo(long size) {
+    /**
+     * Reserves memory for the body to reach a size.
+     *
+     * @param memoryBytes the memory that the body needs then, including copies
+     */
+    private boolean reserve(long size, long memoryBytes) {
         if (size > limitBytes) {
             refuse(RefusalReason.REQUEST_TOO_LARGE, "the request body exceeds " + limitBytes + " bytes");
             return false;
         }
-        long additionalBytes = size - reservedBytes;
+        long additionalBytes = memoryBytes - reservedBytes;
         if (additionalBytes > 0 && !reservation.tryReserveForRequest(additionalBytes)) {
             refuse(
                     RefusalReason.HELD_BYTES_FULL,
                     "cannot buffer " + size + " bytes of a request: the limit of held bytes is reached");
             return false;
         }
-        reservedBytes = Math.max(size, reservedBytes);
+        reservedBytes = Math.max(memoryBytes, reservedBytes);
         return true;
     }
 
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -37,7 +37,7 @@
 
     private boolean truncated;
     private CompletableFuture<Boolean> bodyReserved = CompletableFuture.completedFuture(true);
-    private BodyBuffer body = new BodyBuffer(0);
+    private BodyBuffer body;
 
     ResponseCollector(
             Request exchange,
@@ -49,6 +49,7 @@
         this.sentRequest = sentRequest;
         this.protocol = protocol;
         this.limitBytes = Math.min(limitBytes, MAX_BODY_BYTES);
+        this.body = BodyBuffer.growing((int) this.limitBytes);
         this.bodyReservation = new ResponseBodyReservation(reservation, this.limitBytes);
         var unused = responseFuture.whenComplete((response, failure) -> {
             if (responseFuture.isCancelled()) {
@@ -111,7 +112,7 @@
                 ? reserveFor(0, bodyReservation::reserveFor)
                 : reserveFor(length, bodyReservation::reserveWhole).thenApply(reserved -> {
                     if (reserved) {
-                        body = new BodyBuffer((int) length);
+                        body = BodyBuffer.ofLength((int) length);
                     }
                     return reserved;
                 });
@@ -220,7 +221,7 @@
     public void onComplete(Result result) {
         completed = true;
         if (!complete(result)) {
-            body = new BodyBuffer(0);
+            body = BodyBuffer.ofLength(0);
             bodyReservation.release();
         }
     }
@@ -253,7 +254,7 @@
             return false;
         }
         BufferedResponse response = new BufferedResponse(head.status(), head.headers(), body.toByteBuffer());
-        body = new BodyBuffer(0);
+        body = BodyBuffer.ofLength(0);
         return responseFuture.complete(response);
     }
 
