Size the buffer of a growing response by what it may reserve

The buffer now gets the size that the reservation states. A channel counts a response as due only if the exchange was associated with it.

--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseBodyReservation.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseBodyReservation.java
@@ -21,6 +21,11 @@
         this.limitBytes = limitBytes;
     }
 
+    /** Returns the size that a body of unknown length can reach. */
+    long maxGrowingBytes() {
+        return Math.min(limitBytes, reservation.growingResponseLimitBytes() / 2);
+    }
+
     /** Reserves the whole body of a response that states its length. */
     CompletableFuture<Boolean> reserveWhole(long bodyBytes) {
         lengthKnown = true;
@@ -36,10 +41,10 @@
         if (bodyBytes <= HeldBytes.SMALL_RESPONSE_BYTES && reserveSmall()) {
             return CompletableFuture.completedFuture(true);
         }
-        long neededBytes = lengthKnown ? bodyBytes : Math.min(2 * limitBytes, reservation.growingResponseLimitBytes());
-        if (!lengthKnown && 2 * bodyBytes > neededBytes) {
+        if (!lengthKnown && bodyBytes > maxGrowingBytes()) {
             return CompletableFuture.completedFuture(false);
         }
+        long neededBytes = lengthKnown ? bodyBytes : 2 * maxGrowingBytes();
         long additionalBytes = neededBytes - reservedBytes;
         if (additionalBytes <= 0) {
             return CompletableFuture.completedFuture(true);
--- a/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/ResponseCollector.java
@@ -49,8 +49,8 @@
         this.sentRequest = sentRequest;
         this.protocol = protocol;
         this.limitBytes = Math.min(limitBytes, MAX_BODY_BYTES);
-        this.body = BodyBuffer.growing((int) this.limitBytes);
         this.bodyReservation = new ResponseBodyReservation(reservation, this.limitBytes);
+        this.body = BodyBuffer.growing((int) bodyReservation.maxGrowingBytes());
         var unused = responseFuture.whenComplete((response, failure) -> {
             if (responseFuture.isCancelled()) {
                 abort(new CancellationException("the call was cancelled"));
--- a/daemon/src/main/java/org/sardinepost/daemon/http/BoundedChannel.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/http/BoundedChannel.java
@@ -23,8 +23,11 @@
 
     @Override
     public boolean associate(HttpExchange exchange) {
-        responseDue = true;
-        return super.associate(exchange);
+        boolean associated = super.associate(exchange);
+        if (associated) {
+            responseDue = true;
+        }
+        return associated;
     }
 
     /** Returns whether the final response to the last request is still to come. */
--- a/daemon/src/test/java/org/sardinepost/daemon/call/HeldBytesTest.java
+++ b/daemon/src/test/java/org/sardinepost/daemon/call/HeldBytesTest.java
@@ -21,6 +21,16 @@
         assertThat(heldBytes.usedBytes()).isEqualTo(100 * KIB);
     }
 
+    @Test
+    void responseOfUnknownLengthReachesHalfOfWhatItMayReserve() {
+        HeldBytesReservation reservation = heldBytes.openReservation();
+
+        assertThat(new ResponseBodyReservation(reservation, 4 * KIB).maxGrowingBytes())
+                .isEqualTo(4 * KIB);
+        assertThat(new ResponseBodyReservation(reservation, 40 * KIB).maxGrowingBytes())
+                .isEqualTo(25 * KIB / 2);
+    }
+
     @Test
     void lastReleaseReleasesAllBytes() {
         HeldBytesReservation reservation = heldBytes.openReservation();
