--- a/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/CallerServerFactory.java
@@ -2,7 +2,6 @@
 
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.UriCompliance;
-import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.Server;
@@ -48,7 +47,7 @@
                 ACCEPTORS,
                 SELECTORS,
                 new StrictHttpConnectionFactory(httpConfig),
-                new HTTP2CServerConnectionFactory(httpConfig));
+                new PriorKnowledgeHttp2Factory(httpConfig));
         connector.setHost(settings.callerAddress().host());
         connector.setPort(settings.callerAddress().port());
         connector.setAcceptQueueSize(ACCEPT_BACKLOG);
