--- a/daemon/src/main/java/org/sardinepost/daemon/call/RequestBodyReader.java
+++ b/daemon/src/main/java/org/sardinepost/daemon/call/RequestBodyReader.java
@@ -34,13 +34,12 @@
 
     private void start() {
         long length = request.getLength();
-        if (length < 0) {
-            body = BodyBuffer.growing((int) limitBytes);
-            readAvailable();
-        } else if (reserve(length, length)) {
-            body = BodyBuffer.ofLength((int) length);
-            readAvailable();
+        boolean lengthKnown = length >= 0;
+        if (lengthKnown && !reserve(length, length)) {
+            return;
         }
+        body = lengthKnown ? BodyBuffer.ofLength((int) length) : BodyBuffer.growing((int) limitBytes);
+        readAvailable();
     }
 
     private void readAvailable() {
